--- /dev/null
+++ b/Makefile
@@ -0,0 +1,106 @@
+# Targets: all, check, demo, bench, bench-decisions, capacity, proof, soak, format, lint, clean.
+# VARIANT selects the instrumentation: release, asan (address and undefined behaviour) or tsan.
+
+VARIANT ?= release
+SEED ?= 1
+PACKAGES = talloc tevent libzmq popt tomlplusplus libxxhash msgpack jansson libcurl libmicrohttpd \
+	libcoap-3-notls libsodium
+VERSION = 0.1.0
+
+CC = gcc
+CXX = g++
+CLANG_FORMAT = clang-format
+CLANG_TIDY = clang-tidy
+
+CPPFLAGS = -Iinclude -Istandins/lib -D_GNU_SOURCE -DKQ_VERSION='"$(VERSION)"' \
+	$(shell pkg-config --cflags $(PACKAGES))
+WARNINGS = -Wall -Wextra -Wshadow -Wpointer-arith -Wcast-align -Wformat=2 -Werror
+CFLAGS_release = -O2 -g
+CFLAGS_asan = -O1 -g -fno-omit-frame-pointer -fsanitize=address,undefined -fno-sanitize-recover=all
+CFLAGS_tsan = -O1 -g -fno-omit-frame-pointer -fsanitize=thread
+CFLAGS = -std=gnu11 $(WARNINGS) -Wstrict-prototypes -Wmissing-prototypes $(CFLAGS_$(VARIANT)) \
+	$(EXTRA_CFLAGS)
+CXXFLAGS = -std=c++17 $(WARNINGS) $(CFLAGS_$(VARIANT))
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lstdc++ -lm -lpthread
+
+B = build/$(VARIANT)
+LIB_SOURCES = $(sort $(shell find src -name '*.c' -o -name '*.cc'))
+LIB_OBJECTS = $(patsubst %,$(B)/%.o,$(LIB_SOURCES))
+STANDIN_LIB_OBJECTS = $(patsubst %,$(B)/%.o,$(sort $(wildcard standins/lib/*.c)))
+PROGRAMS = $(patsubst programs/%.c,$(B)/bin/%,$(wildcard programs/*.c))
+STANDINS = $(patsubst standins/%.c,$(B)/bin/standin-%,$(wildcard standins/*.c))
+UNIT_TESTS = $(patsubst tests/unit/%.c,$(B)/tests/%,$(wildcard tests/unit/test_*.c))
+FUZZERS = $(patsubst tests/fuzz/%.c,$(B)/fuzz/%,$(wildcard tests/fuzz/fuzz_*.c))
+BENCHES = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
+C_FILES = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h')
+
+all: $(PROGRAMS) $(STANDINS)
+
+everything: all unit-tests fuzzers benches
+unit-tests: $(UNIT_TESTS)
+fuzzers: $(FUZZERS)
+benches: $(BENCHES)
+
+$(B)/%.c.o: %.c
+	@mkdir -p $(@D)
+	@echo "CC $(VARIANT) $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(B)/%.cc.o: %.cc
+	@mkdir -p $(@D)
+	@echo "CXX $(VARIANT) $<"
+	@$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+$(B)/libkumquat.a: $(LIB_OBJECTS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(B)/libstandin.a: $(STANDIN_LIB_OBJECTS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+LINK = @mkdir -p $(@D) && $(CC) $(CFLAGS_$(VARIANT)) -o $@ $(filter %.o %.a,$^)
+
+$(B)/bin/kumquat%: $(B)/programs/kumquat%.c.o $(B)/libkumquat.a
+	$(LINK) $(LDLIBS)
+
+$(B)/bin/standin-%: $(B)/standins/%.c.o $(B)/libstandin.a $(B)/libkumquat.a
+	$(LINK) $(LDLIBS)
+
+$(B)/tests/%: $(B)/tests/unit/%.c.o $(B)/tests/unit/unit.c.o $(B)/libstandin.a $(B)/libkumquat.a
+	$(LINK) $(LDLIBS) -lcunit
+
+$(B)/fuzz/%: $(B)/tests/fuzz/%.c.o $(B)/libkumquat.a
+	$(LINK) $(LDLIBS)
+
+$(B)/bench/%: $(B)/bench/%.c.o $(B)/libstandin.a $(B)/libkumquat.a
+	$(LINK) $(LDLIBS)
+
+# Every unit test runs under the address and undefined-behaviour sanitizers; those that use threads
+# run under the thread sanitizer as well.
+check:
+	$(MAKE) VARIANT=asan everything
+	$(MAKE) VARIANT=tsan unit-tests
+	tests/run
+
+format:
+	$(CLANG_FORMAT) -i $(C_FILES)
+
+format-check:
+	@$(CLANG_FORMAT) --dry-run --Werror $(C_FILES)
+
+TIDY_FILES = $(filter %.c,$(C_FILES))
+lint: $(patsubst %,build/lint/%.ok,$(TIDY_FILES))
+build/lint/%.ok: % .clang-tidy $(wildcard include/kumquat/*.h include/kumquat/internal/*.h)
+	@mkdir -p $(@D)
+	@echo "LINT $<"
+	@$(CLANG_TIDY) --quiet $< -- $(CPPFLAGS) -std=gnu11 2>&1 | { ! grep -E 'warning:|error:' ; }
+	@touch $@
+
+clean:
+	rm -rf build
+
+-include $(shell find build -name '*.d' 2>/dev/null)
+
+.PHONY: all everything unit-tests fuzzers benches check format format-check lint clean
+.SECONDARY:
--- /dev/null
+++ b/include/kumquat/random.h
@@ -0,0 +1,36 @@
+/* Source of random numbers that is passed in wherever a decision draws lots. */
+#pragma once
+
+#include <stdint.h>
+
+#define KQ_RANDOM_BLOCK_WORDS 64
+
+/**
+ * struct KqRandom - a seeded generator; the same seed gives the same numbers
+ * @seed: key of the stream
+ * @block: number of the next block
+ * @words: numbers of the current block
+ * @used: how many of @words were taken
+ */
+typedef struct
+{
+  uint8_t seed[32];
+  uint64_t block;
+  uint64_t words[KQ_RANDOM_BLOCK_WORDS];
+  unsigned used;
+} KqRandom;
+
+/** kq_random_seed - starts the stream of @seed; tests and experiments use a fixed one */
+void kq_random_seed (KqRandom *random, uint64_t seed);
+
+/** kq_random_seed_system - starts a stream from the system's entropy */
+void kq_random_seed_system (KqRandom *random);
+
+/** kq_random_next - Return: 64 random bits */
+uint64_t kq_random_next (KqRandom *random);
+
+/** kq_random_below - Return: a number from 0 to @bound - 1; @bound is at least 1 */
+uint64_t kq_random_below (KqRandom *random, uint64_t bound);
+
+/** kq_random_unit - Return: a number from 0 inclusive to 1 exclusive */
+double kq_random_unit (KqRandom *random);
