Interfaces between the parts and the design to start from

Cause: five parts are to grow side by side and need fixed interfaces first. Ruled out: an offer that walks the candidates and is decided by the last one. A repeated first datagram can then be decided twice by different agents and split the flow; the home of the bucket decides instead.

--- /dev/null
+++ b/include/kumquat/control.h
@@ -0,0 +1,120 @@
+/* The control plane of one process: membership, and which configuration is in force where. */
+#pragma once
+
+#include <tevent.h>
+
+#include "kumquat/random.h"
+#include "kumquat/view.h"
+
+#define KQ_SEEDS_MAX      8
+#define KQ_DOCUMENT_BYTES 65536 /* largest configuration document of one service */
+
+typedef struct KqControl KqControl;
+
+/**
+ * struct KqDocument - one service's configuration document as it is stored and spread
+ * @service: the service's number
+ * @revision: its version
+ * @bytes: (array): the JSON text
+ * @size: bytes at @bytes
+ */
+typedef struct
+{
+  uint32_t service;
+  KqRevision revision;
+  const uint8_t *bytes;
+  size_t size;
+} KqDocument;
+
+/**
+ * struct KqControlOps - what the control plane tells its process; all pointers are borrowed
+ * @members_changed: a member joined, left, died, or changed what it says of itself
+ * @document_changed: a newer document of a service was accepted
+ */
+typedef struct
+{
+  void (*members_changed) (void *data);
+  void (*document_changed) (const KqDocument *document, void *data);
+} KqControlOps;
+
+/**
+ * struct KqControlParams - identity and limits of one process
+ * @self: what is announced; the control address must be one this process can bind
+ * @seeds: (array): control addresses of instances to join through
+ * @seed_count: length of @seeds
+ * @key: key of the message authentication code of control traffic
+ * @probe_interval_us: time between probes of one member each
+ * @suspicion_us: how long a suspected member has to refute
+ * @budget_bytes_per_s: limit of the bytes that control traffic sends
+ */
+typedef struct
+{
+  KqMember self;
+  KqAddress seeds[KQ_SEEDS_MAX];
+  unsigned seed_count;
+  uint8_t key[32];
+  KqTime probe_interval_us;
+  KqTime suspicion_us;
+  unsigned budget_bytes_per_s;
+} KqControlParams;
+
+/**
+ * struct KqInForce - how far one document has spread, counted from acknowledgements
+ * @revision: the newest revision known here
+ * @balancers: live balancers
+ * @balancers_in_force: those that acknowledged @revision
+ * @agents: live agents of the service
+ * @agents_in_force: those that acknowledged @revision
+ * @laggards: (array): names of some that did not
+ * @laggard_count: length of @laggards
+ */
+#define KQ_LAGGARDS_MAX 16
+typedef struct
+{
+  KqRevision revision;
+  unsigned balancers;
+  unsigned balancers_in_force;
+  unsigned agents;
+  unsigned agents_in_force;
+  char laggards[KQ_LAGGARDS_MAX][KQ_NAME_BYTES];
+  unsigned laggard_count;
+} KqInForce;
+
+/**
+ * kq_control_new - binds the control ports and starts to join
+ *
+ * Return: (owned by @parent) the control plane, or NULL with @error set.
+ */
+KqControl *kq_control_new (const void *parent, struct tevent_context *ev,
+                           const KqControlParams *params, const KqControlOps *ops, void *data,
+                           KqError *error);
+
+/** kq_control_members - Return: (borrowed until the next event) all members but the dead and left,
+ * this process included, ordered by id */
+const KqMember *kq_control_members (const KqControl *control, unsigned *count);
+
+/** kq_control_set_phase - announces another phase of this agent's target */
+void kq_control_set_phase (KqControl *control, KqTargetPhase phase);
+
+/** kq_control_self - Return: (borrowed) what is announced now; the incarnation may have grown */
+const KqMember *kq_control_self (const KqControl *control);
+
+/** kq_control_leave - announces a planned leave; call it some probe intervals before the end */
+void kq_control_leave (KqControl *control);
+
+/**
+ * kq_control_publish - spreads a document that was read from the store
+ *
+ * Return: 1 when it is newer than the one in force here, 0 when it is not, -1 with @error set.
+ */
+int kq_control_publish (KqControl *control, const KqDocument *document, KqError *error);
+
+/** kq_control_is_watcher - Return: whether this process is one of the few in its failure domain
+ * that watch the store, by rendezvous over the live members */
+bool kq_control_is_watcher (const KqControl *control);
+
+/** kq_control_in_force - Return: 0, or -1 when the service is not known here */
+int kq_control_in_force (const KqControl *control, uint32_t service, KqInForce *in_force);
+
+/** kq_control_metrics - writes Prometheus text; Return: (owned by @parent) the text */
+char *kq_control_metrics (const void *parent, const KqControl *control);
--- /dev/null
+++ b/include/kumquat/routing.h
@@ -0,0 +1,33 @@
+/* Maps flow hashes to buckets and buckets to an ordered list of candidates. */
+#pragma once
+
+#include "kumquat/packet.h"
+#include "kumquat/view.h"
+
+#define KQ_BUCKETS 256 /* buckets of a service; fixed, so that a change of targets moves few */
+
+typedef struct KqRouting KqRouting;
+
+/**
+ * kq_routing_new - computes the candidates of every bucket by weighted rendezvous hashing
+ * @parent: talloc parent of the result
+ * @view: (borrowed): targets that are starting, draining or denied are in no bucket; when no target
+ *   is in service, those that drain or are denied are used as last resort
+ *
+ * The result depends only on the ids, weights, phases and denials in @view, not on their order.
+ *
+ * Return: (owned by @parent) an immutable table that threads may share, or NULL without memory.
+ */
+KqRouting *kq_routing_new (const void *parent, const KqServiceView *view);
+
+/** kq_routing_bucket - Return: the bucket of a flow hash, 0 to KQ_BUCKETS - 1 */
+unsigned kq_routing_bucket (uint64_t hash);
+
+/**
+ * kq_routing_candidates - lists a bucket's candidates, best first
+ * @out: (out): up to KQ_CANDIDATES_MAX agents; the first is the bucket's home
+ *
+ * Return: how many there are; 0 when the service has no target.
+ */
+unsigned kq_routing_candidates (const KqRouting *routing, unsigned bucket,
+                                KqPeer out[KQ_CANDIDATES_MAX]);
