--- /dev/null
+++ b/include/kumquat/internal/flow_shard.h
@@ -0,0 +1,69 @@
+/* A bounded map from flow keys to agents, for one thread at a time. */
+#pragma once
+
+#include "kumquat/types.h"
+
+typedef struct KqFlowShard KqFlowShard;
+
+/**
+ * kq_flow_shard_new - creates an empty shard
+ * @capacity: flows it holds at most
+ * @caller_max: flows of one caller's IP address once the shard is half full; 0 means no limit
+ *
+ * Return: (owned by @parent) the shard, or NULL without memory.
+ */
+KqFlowShard *kq_flow_shard_new (const void *parent, unsigned capacity, unsigned caller_max);
+
+/** kq_flow_shard_lookup - Return: whether @key is known; @owner (nullable) is then set */
+bool kq_flow_shard_lookup (const KqFlowShard *shard, const KqFlowKey *key, uint64_t hash,
+                           KqPeer *owner);
+
+/** kq_flow_shard_touch - marks @key as used at @now; Return: as kq_flow_shard_lookup */
+bool kq_flow_shard_touch (KqFlowShard *shard, const KqFlowKey *key, uint64_t hash, KqTime now,
+                          KqPeer *owner);
+
+/** kq_flow_shard_store - adds @key or replaces its owner; Return: 0, or -1 when there is no room */
+int kq_flow_shard_store (KqFlowShard *shard, const KqFlowKey *key, uint64_t hash,
+                         const KqPeer *owner, KqTime now);
+
+/** kq_flow_shard_remove - drops @key if its owner is @owner (any when NULL); Return: if dropped */
+bool kq_flow_shard_remove (KqFlowShard *shard, const KqFlowKey *key, uint64_t hash,
+                           const KqPeer *owner);
+
+/**
+ * struct KqFlowEntry - one flow as kq_flow_shard_next finds it
+ * @key: the flow
+ * @owner: its agent
+ * @idle: time since its last use, to the millisecond
+ */
+typedef struct
+{
+  KqFlowKey key;
+  KqPeer owner;
+  KqTime idle;
+} KqFlowEntry;
+
+/**
+ * kq_flow_shard_next - walks over all flows
+ * @cursor: 0 at first, then as the previous call left it
+ *
+ * A change of the shard between two calls can hide flows from the walk or show them twice.
+ *
+ * Return: whether there was a further flow, which @entry then holds.
+ */
+bool kq_flow_shard_next (const KqFlowShard *shard, unsigned *cursor, KqTime now,
+                         KqFlowEntry *entry);
+
+/**
+ * kq_flow_shard_expire - moves a clock hand over some slots and drops idle flows
+ * @idle_us: a flow unused for so long is dropped
+ * @slots: how far the hand moves at most
+ * @dropped: (nullable): called for each flow after it was dropped
+ *
+ * Return: how many were dropped.
+ */
+unsigned kq_flow_shard_expire (KqFlowShard *shard, KqTime now, KqTime idle_us, unsigned slots,
+                               void (*dropped) (const KqFlowKey *key, void *data), void *data);
+
+unsigned kq_flow_shard_count (const KqFlowShard *shard);
+size_t kq_flow_shard_bytes (const KqFlowShard *shard);
--- /dev/null
+++ b/src/connection/flow_shard.c
@@ -0,0 +1,364 @@
+/* Open addressing with linear probing over slots of 32 bytes. The table grows by half when it is
+ * three quarters full, and moves a few slots with each new flow, so no single store pays for a
+ * whole copy. While it moves, a flow is in exactly one of the two slot arrays. Removal shifts later
+ * entries back; in the array that is being left it marks the slot instead. */
+
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/caller_count.h"
+#include "kumquat/internal/flow_shard.h"
+#include "kumquat/internal/peer_table.h"
+
+#define SLOTS_FIRST    64
+#define MOVED_PER_OP   8   /* slots moved to the larger array with each new flow */
+#define MOVED_PER_TURN 256 /* slots moved with each turn of the clock hand */
+
+typedef enum
+{
+  SLOT_EMPTY,
+  SLOT_USED,
+  SLOT_LEFT
+} SlotState;
+
+typedef struct
+{
+  uint8_t ip[16];
+  uint32_t service;
+  uint32_t used_ms;
+  uint32_t owner;
+  uint16_t port;
+  uint8_t state;
+} Slot;
+
+_Static_assert(sizeof (Slot) == 32, "two slots a cache line");
+
+typedef struct
+{
+  Slot *slots;
+  unsigned size;
+} SlotArray;
+
+struct KqFlowShard
+{
+  SlotArray now;
+  SlotArray old;
+  unsigned moved;
+  unsigned hand;
+  unsigned count;
+  unsigned capacity;
+  unsigned caller_max;
+  KqPeerTable *peers;
+  KqCallerCount *callers;
+};
+
+static uint32_t
+to_ms (KqTime now)
+{
+  return (uint32_t)(now / KQ_MS);
+}
+
+static unsigned
+ideal (const SlotArray *array, uint64_t hash)
+{
+  return (unsigned)(((uint64_t)(uint32_t)(hash >> 16) * array->size) >> 32);
+}
+
+static unsigned
+following (const SlotArray *array, unsigned i)
+{
+  return i + 1 == array->size ? 0 : i + 1;
+}
+
+static KqFlowKey
+key_of (const Slot *slot)
+{
+  KqFlowKey key = { .service = slot->service, .caller.port = slot->port };
+  memcpy (key.caller.ip, slot->ip, sizeof slot->ip);
+  return key;
+}
+
+static uint64_t
+hash_of (const Slot *slot)
+{
+  KqFlowKey key = key_of (slot);
+  return kq_flow_key_hash (&key);
+}
+
+static bool
+holds (const Slot *slot, const KqFlowKey *key)
+{
+  return slot->state == SLOT_USED && slot->port == key->caller.port &&
+         slot->service == key->service && memcmp (slot->ip, key->caller.ip, sizeof slot->ip) == 0;
+}
+
+static Slot *
+find_in (const SlotArray *array, const KqFlowKey *key, uint64_t hash)
+{
+  if (array->size == 0)
+    return NULL;
+  for (unsigned i = ideal (array, hash);; i = following (array, i))
+    {
+      Slot *slot = &array->slots[i];
+      if (slot->state == SLOT_EMPTY)
+        return NULL;
+      if (holds (slot, key))
+        return slot;
+    }
+}
+
+static Slot *
+find (const KqFlowShard *shard, const KqFlowKey *key, uint64_t hash)
+{
+  Slot *slot = find_in (&shard->now, key, hash);
+  return slot != NULL ? slot : find_in (&shard->old, key, hash);
+}
+
+static Slot *
+empty_slot (SlotArray *array, uint64_t hash)
+{
+  unsigned i = ideal (array, hash);
+  while (array->slots[i].state != SLOT_EMPTY)
+    i = following (array, i);
+  return &array->slots[i];
+}
+
+KqFlowShard *
+kq_flow_shard_new (const void *parent, unsigned capacity, unsigned caller_max)
+{
+  KqFlowShard *shard = talloc_zero (parent, KqFlowShard);
+  if (shard == NULL)
+    return NULL;
+  shard->capacity = capacity;
+  shard->caller_max = caller_max;
+  shard->now.size = SLOTS_FIRST;
+  shard->now.slots = talloc_zero_array (shard, Slot, SLOTS_FIRST);
+  shard->peers = kq_peer_table_new (shard);
+  shard->callers = caller_max == 0 ? NULL : kq_caller_count_new (shard);
+  if (shard->now.slots == NULL || shard->peers == NULL ||
+      (caller_max != 0 && shard->callers == NULL))
+    TALLOC_FREE (shard);
+  return shard;
+}
+
+static void
+move_some (KqFlowShard *shard, unsigned slots)
+{
+  for (; shard->old.slots != NULL && slots > 0; slots--)
+    {
+      Slot *slot = &shard->old.slots[shard->moved++];
+      if (slot->state == SLOT_USED)
+        {
+          *empty_slot (&shard->now, hash_of (slot)) = *slot;
+          slot->state = SLOT_LEFT;
+        }
+      if (shard->moved == shard->old.size)
+        {
+          TALLOC_FREE (shard->old.slots);
+          shard->old.size = 0;
+        }
+    }
+}
+
+static int
+grow (KqFlowShard *shard)
+{
+  if (shard->old.slots != NULL)
+    move_some (shard, shard->old.size);
+  unsigned size = shard->now.size + shard->now.size / 2;
+  Slot *slots = talloc_zero_array (shard, Slot, size);
+  if (slots == NULL)
+    return -1;
+  shard->old = shard->now;
+  shard->moved = 0;
+  shard->hand = 0;
+  shard->now.slots = slots;
+  shard->now.size = size;
+  return 0;
+}
+
+bool
+kq_flow_shard_lookup (const KqFlowShard *shard, const KqFlowKey *key, uint64_t hash, KqPeer *owner)
+{
+  const Slot *slot = find (shard, key, hash);
+  if (slot != NULL && owner != NULL)
+    *owner = *kq_peer_table_get (shard->peers, slot->owner);
+  return slot != NULL;
+}
+
+bool
+kq_flow_shard_touch (KqFlowShard *shard, const KqFlowKey *key, uint64_t hash, KqTime now,
+                     KqPeer *owner)
+{
+  Slot *slot = find (shard, key, hash);
+  if (slot == NULL)
+    return false;
+  slot->used_ms = to_ms (now);
+  if (owner != NULL)
+    *owner = *kq_peer_table_get (shard->peers, slot->owner);
+  return true;
+}
+
+static bool
+has_room (const KqFlowShard *shard, const KqFlowKey *key)
+{
+  if (shard->count >= shard->capacity)
+    return false;
+  if (shard->callers == NULL || shard->count < shard->capacity / 2)
+    return true;
+  return kq_caller_count_get (shard->callers, &key->caller) < shard->caller_max;
+}
+
+static void
+replace_owner (KqFlowShard *shard, Slot *slot, unsigned owner, KqTime now)
+{
+  kq_peer_table_release (shard->peers, slot->owner);
+  slot->owner = owner;
+  slot->used_ms = to_ms (now);
+}
+
+int
+kq_flow_shard_store (KqFlowShard *shard, const KqFlowKey *key, uint64_t hash, const KqPeer *owner,
+                     KqTime now)
+{
+  Slot *slot = find (shard, key, hash);
+  if (slot == NULL && !has_room (shard, key))
+    return -1;
+  int number = kq_peer_table_acquire (shard->peers, owner);
+  if (number < 0)
+    return -1;
+  if (slot != NULL)
+    {
+      replace_owner (shard, slot, (unsigned)number, now);
+      return 0;
+    }
+  move_some (shard, MOVED_PER_OP);
+  if ((shard->count + 1) * 4ULL > shard->now.size * 3ULL && grow (shard) < 0)
+    {
+      kq_peer_table_release (shard->peers, (unsigned)number);
+      return -1;
+    }
+  slot = empty_slot (&shard->now, hash);
+  memcpy (slot->ip, key->caller.ip, sizeof slot->ip);
+  slot->port = key->caller.port;
+  slot->service = key->service;
+  slot->owner = (unsigned)number;
+  slot->used_ms = to_ms (now);
+  slot->state = SLOT_USED;
+  shard->count++;
+  if (shard->callers != NULL)
+    kq_caller_count_add (shard->callers, &key->caller, 1);
+  return 0;
+}
+
+/* Closes the gap at @gap with the entries behind it whose probe sequence passes the gap. */
+static void
+shift_back (SlotArray *array, unsigned gap)
+{
+  for (unsigned i = following (array, gap);; i = following (array, i))
+    {
+      if (array->slots[i].state == SLOT_EMPTY)
+        break;
+      unsigned wish = ideal (array, hash_of (&array->slots[i]));
+      unsigned from_wish = (i + array->size - wish) % array->size;
+      unsigned from_gap = (i + array->size - gap) % array->size;
+      if (from_wish < from_gap)
+        continue;
+      array->slots[gap] = array->slots[i];
+      gap = i;
+    }
+  array->slots[gap].state = SLOT_EMPTY;
+}
+
+static void
+drop (KqFlowShard *shard, Slot *slot)
+{
+  kq_peer_table_release (shard->peers, slot->owner);
+  if (shard->callers != NULL)
+    {
+      KqFlowKey key = key_of (slot);
+      kq_caller_count_add (shard->callers, &key.caller, -1);
+    }
+  shard->count--;
+  if (slot >= shard->now.slots && slot < shard->now.slots + shard->now.size)
+    shift_back (&shard->now, (unsigned)(slot - shard->now.slots));
+  else
+    slot->state = SLOT_LEFT;
+}
+
+bool
+kq_flow_shard_remove (KqFlowShard *shard, const KqFlowKey *key, uint64_t hash, const KqPeer *owner)
+{
+  Slot *slot = find (shard, key, hash);
+  if (slot == NULL)
+    return false;
+  if (owner != NULL && !kq_peer_equal (kq_peer_table_get (shard->peers, slot->owner), owner))
+    return false;
+  drop (shard, slot);
+  return true;
+}
+
+static KqTime
+idle_of (const Slot *slot, KqTime now)
+{
+  int32_t ms = (int32_t)(to_ms (now) - slot->used_ms);
+  return ms < 0 ? 0 : ms * KQ_MS;
+}
+
+bool
+kq_flow_shard_next (const KqFlowShard *shard, unsigned *cursor, KqTime now, KqFlowEntry *entry)
+{
+  for (; *cursor < shard->now.size + shard->old.size; (*cursor)++)
+    {
+      bool in_now = *cursor < shard->now.size;
+      const Slot *slot =
+          in_now ? &shard->now.slots[*cursor] : &shard->old.slots[*cursor - shard->now.size];
+      if (slot->state != SLOT_USED)
+        continue;
+      entry->key = key_of (slot);
+      entry->owner = *kq_peer_table_get (shard->peers, slot->owner);
+      entry->idle = idle_of (slot, now);
+      (*cursor)++;
+      return true;
+    }
+  return false;
+}
+
+unsigned
+kq_flow_shard_expire (KqFlowShard *shard, KqTime now, KqTime idle_us, unsigned slots,
+                      void (*dropped) (const KqFlowKey *key, void *data), void *data)
+{
+  unsigned count = 0;
+  move_some (shard, MOVED_PER_TURN);
+  for (unsigned seen = 0; seen < slots && seen < shard->now.size; seen++)
+    {
+      if (shard->hand >= shard->now.size)
+        shard->hand = 0;
+      Slot *slot = &shard->now.slots[shard->hand];
+      if (slot->state != SLOT_USED || idle_of (slot, now) < idle_us)
+        {
+          shard->hand++;
+          continue;
+        }
+      KqFlowKey key = key_of (slot);
+      drop (shard, slot);
+      count++;
+      if (dropped != NULL)
+        dropped (&key, data);
+    }
+  return count;
+}
+
+unsigned
+kq_flow_shard_count (const KqFlowShard *shard)
+{
+  return shard->count;
+}
+
+size_t
+kq_flow_shard_bytes (const KqFlowShard *shard)
+{
+  size_t slots = (size_t)(shard->now.size + shard->old.size) * sizeof (Slot);
+  size_t callers = shard->callers == NULL ? 0 : kq_caller_count_bytes ();
+  return sizeof *shard + slots + callers + kq_peer_table_bytes (shard->peers);
+}
