--- a/include/kumquat/http_server.h
+++ b/include/kumquat/http_server.h
@@ -33,3 +33,20 @@
 /** kq_http_respond - answers and releases @request; copies @body */
 void kq_http_respond (KqHttpRequest *request, unsigned status, const char *content_type,
                       const char *body, size_t size);
+
+/**
+ * kq_http_stream_begin - answers 200 with a body that is written piece by piece
+ * @closed: called once when the stream ended, by the peer or by kq_http_stream_end(); @request is
+ *   gone afterwards
+ */
+void kq_http_stream_begin (KqHttpRequest *request, const char *content_type,
+                           void (*closed) (KqHttpRequest *request, void *data), void *data);
+
+/** kq_http_stream_write - appends to the body; copies @bytes */
+void kq_http_stream_write (KqHttpRequest *request, const char *bytes, size_t size);
+
+/** kq_http_stream_end - ends the body once all was sent */
+void kq_http_stream_end (KqHttpRequest *request);
+
+/** kq_http_port - Return: the port that is listened on, also when port 0 was asked for */
+uint16_t kq_http_port (const KqHttpServer *server);
--- a/include/kumquat/log.h
+++ b/include/kumquat/log.h
@@ -30,3 +30,10 @@
 /** kq_log_quote - Return: @out with @text in double quotes, control characters and quotes escaped
  */
 const char *kq_log_quote (const char *text, char out[KQ_LOG_QUOTE_BYTES]);
+
+/** kq_log_flush - writes the counts of suppressed events whose window ended; call it each second */
+void kq_log_flush (void);
+
+/** kq_log_level_parse - Return: the level named "error", "warning", "notice", "info" or "debug", or
+ * -1 */
+int kq_log_level_parse (const char *name);
--- a/include/kumquat/view.h
+++ b/include/kumquat/view.h
@@ -74,13 +74,41 @@
  * @removed: the service is gone; its number stays taken
  * @denied: (array): names of targets and failure domains that take no new flows, drained
  * @denied_count: length of @denied
+ * @denied_limit_ms: (array): how long the entry of @denied may keep its flows; 0 means
+ *   @drain_limit_ms
+ * @weights: (array): weights that operators set; a target without one keeps what it announces
+ * @weight_count: length of @weights
+ * @worths: (array): worth of one answered request by class, which is the first segment of its path
+ * @worth_count: length of @worths; a class without an entry is worth 1
  */
-#define KQ_DENIED_MAX 64
+#define KQ_DENIED_MAX  64
+#define KQ_WEIGHTS_MAX 64
+#define KQ_WORTHS_MAX  16
+#define KQ_WEIGHT_MAX  1000
 typedef enum
 {
   KQ_PROTOCOL_COAP,
   KQ_PROTOCOL_UDP
 } KqProtocol;
+
+/**
+ * struct KqTargetWeight - relative share of the flows that operators give one target
+ */
+typedef struct
+{
+  char target[KQ_NAME_BYTES];
+  uint16_t weight;
+} KqTargetWeight;
+
+/**
+ * struct KqClassWorth - worth of one answered request of a class, relative to other classes
+ */
+typedef struct
+{
+  char class_name[KQ_NAME_BYTES];
+  uint32_t worth;
+} KqClassWorth;
+
 typedef struct
 {
   uint32_t number;
@@ -97,6 +125,11 @@
   bool removed;
   char denied[KQ_DENIED_MAX][KQ_NAME_BYTES];
   unsigned denied_count;
+  uint32_t denied_limit_ms[KQ_DENIED_MAX];
+  KqTargetWeight weights[KQ_WEIGHTS_MAX];
+  unsigned weight_count;
+  KqClassWorth worths[KQ_WORTHS_MAX];
+  unsigned worth_count;
 } KqService;
 
 /**
@@ -117,3 +150,23 @@
 
 /** kq_service_admits - Return: whether the configuration lets @target take new flows */
 bool kq_service_admits (const KqService *service, const KqMember *target);
+
+/** kq_service_weight - Return: the weight that operators set for @target, else what it announces */
+unsigned kq_service_weight (const KqService *service, const KqMember *target);
+
+/** kq_service_drain_limit_ms - Return: how long @target, which is denied, may keep its flows; 0
+ * means without limit */
+uint32_t kq_service_drain_limit_ms (const KqService *service, const KqMember *target);
+
+/** kq_service_worth - Return: worth of one answered request of class @class_name */
+uint32_t kq_service_worth (const KqService *service, const char *class_name);
+
+/**
+ * kq_name_check - checks a name of a service, target or failure domain
+ *
+ * Return: 0, or -1 with @error set; a name has 1 to 31 lower-case letters, digits and hyphens.
+ */
+int kq_name_check (const char *name, KqError *error);
+
+/** kq_service_check - Return: 0 when every field is in its range, or -1 with @error set */
+int kq_service_check (const KqService *service, KqError *error);
--- /dev/null
+++ b/src/process/http_server.c
@@ -0,0 +1,417 @@
+/* libmicrohttpd runs without threads of its own: it shows one epoll descriptor, which tevent
+ * watches. A request that is not answered when its handler returns is suspended; answering it later
+ * resumes the connection, and libmicrohttpd calls the access handler once more, which then queues
+ * the answer. */
+
+#include <errno.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "kumquat/http_server.h"
+
+#define BODY_BYTES_MAX     ((size_t)1024 * 1024)
+#define CONNECTIONS_MAX    256
+#define CONNECTION_IDLE_S  60
+#define STREAM_BLOCK_BYTES 4096
+
+struct KqHttpServer
+{
+  struct tevent_context *ev;
+  struct MHD_Daemon *daemon;
+  struct tevent_timer *timer;
+  KqHttpRequest *requests;
+  KqHttpHandler handler;
+  void *data;
+  uint16_t port;
+  bool running;
+  bool ending;
+};
+
+/**
+ * struct KqHttpRequest - one request from its first byte until its answer was sent
+ * @server: (borrowed): the server
+ * @prev: neighbour in the server's list
+ * @next: neighbour in the server's list
+ * @connection: (borrowed): its connection
+ * @method: copied
+ * @path: copied
+ * @body: what was received so far, with a NUL
+ * @size: bytes of @body
+ * @too_large: the body exceeded the limit and was dropped
+ * @handled: the handler was called
+ * @suspended: the connection waits for an answer or for more of a stream
+ * @status: status of the answer; 0 before it is known
+ * @response: (owned): the answer, until it is queued
+ * @streaming: the answer is a stream
+ * @stream: what was written and not sent
+ * @stream_end: nothing more will be written
+ * @closed: (nullable): called when the stream ended
+ * @closed_data: context pointer of @closed
+ */
+struct KqHttpRequest
+{
+  KqHttpServer *server;
+  KqHttpRequest *prev;
+  KqHttpRequest *next;
+  struct MHD_Connection *connection;
+  char *method;
+  char *path;
+  char *body;
+  size_t size;
+  bool too_large;
+  bool handled;
+  bool suspended;
+  unsigned status;
+  struct MHD_Response *response;
+  bool streaming;
+  char *stream;
+  bool stream_end;
+  void (*closed) (KqHttpRequest *request, void *data);
+  void *closed_data;
+};
+
+static void schedule (KqHttpServer *server);
+
+static void
+run (KqHttpServer *server)
+{
+  server->running = true;
+  MHD_run (server->daemon);
+  server->running = false;
+  schedule (server);
+}
+
+static void
+on_timer (struct tevent_context *ev, struct tevent_timer *timer, struct timeval now, void *data)
+{
+  KqHttpServer *server = data;
+  (void)ev;
+  (void)timer;
+  (void)now;
+  server->timer = NULL;
+  run (server);
+}
+
+static void
+on_readable (struct tevent_context *ev, struct tevent_fd *fd, uint16_t flags, void *data)
+{
+  (void)ev;
+  (void)fd;
+  (void)flags;
+  run (data);
+}
+
+static void
+set_timer (KqHttpServer *server, unsigned long long ms)
+{
+  TALLOC_FREE (server->timer);
+  struct timeval when =
+      tevent_timeval_current_ofs ((uint32_t)(ms / 1000), (uint32_t)(ms % 1000 * 1000));
+  server->timer = tevent_add_timer (server->ev, server, when, on_timer, server);
+}
+
+static void
+schedule (KqHttpServer *server)
+{
+  MHD_UNSIGNED_LONG_LONG ms;
+  if (MHD_get_timeout (server->daemon, &ms) == MHD_YES)
+    set_timer (server, ms);
+}
+
+static void
+resume (KqHttpRequest *request)
+{
+  if (!request->suspended)
+    return;
+  request->suspended = false;
+  MHD_resume_connection (request->connection);
+  if (!request->server->running && !request->server->ending)
+    set_timer (request->server, 0);
+}
+
+static KqHttpRequest *
+new_request (KqHttpServer *server, struct MHD_Connection *connection, const char *path,
+             const char *method)
+{
+  KqHttpRequest *request = talloc_zero (server, KqHttpRequest);
+  if (request == NULL)
+    return NULL;
+  request->server = server;
+  request->connection = connection;
+  request->method = talloc_strdup (request, method);
+  request->path = talloc_strdup (request, path);
+  request->body = talloc_strdup (request, "");
+  request->next = server->requests;
+  if (request->next != NULL)
+    request->next->prev = request;
+  server->requests = request;
+  return request;
+}
+
+static void
+free_request (KqHttpRequest *request)
+{
+  if (request->prev != NULL)
+    request->prev->next = request->next;
+  else
+    request->server->requests = request->next;
+  if (request->next != NULL)
+    request->next->prev = request->prev;
+  if (request->response != NULL)
+    MHD_destroy_response (request->response);
+  talloc_free (request);
+}
+
+static void
+take_body (KqHttpRequest *request, const char *bytes, size_t size)
+{
+  if (request->too_large || request->size + size > BODY_BYTES_MAX)
+    {
+      request->too_large = true;
+      return;
+    }
+  request->body = talloc_realloc (request, request->body, char, request->size + size + 1);
+  memcpy (request->body + request->size, bytes, size);
+  request->size += size;
+  request->body[request->size] = '\0';
+}
+
+static enum MHD_Result
+queue_answer (KqHttpRequest *request)
+{
+  struct MHD_Response *response = request->response;
+  request->response = NULL;
+  enum MHD_Result result = MHD_queue_response (request->connection, request->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static void
+handle (KqHttpRequest *request)
+{
+  static const char too_large[] = "{\"error\":\"body is too large; send at most 1 MiB\"}\n";
+  KqHttpServer *server = request->server;
+  request->handled = true;
+  if (request->too_large)
+    kq_http_respond (request, MHD_HTTP_CONTENT_TOO_LARGE, "application/json", too_large,
+                     sizeof too_large - 1);
+  else
+    server->handler (request, request->method, request->path, request->body, request->size,
+                     server->data);
+}
+
+static enum MHD_Result
+on_access (void *data, struct MHD_Connection *connection, const char *path, const char *method,
+           const char *version, const char *upload, size_t *upload_size, void **slot)
+{
+  KqHttpRequest *request = *slot;
+  (void)version;
+  if (request == NULL)
+    {
+      *slot = new_request (data, connection, path, method);
+      return *slot == NULL ? MHD_NO : MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      take_body (request, upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (!request->handled)
+    handle (request);
+  if (request->response != NULL)
+    return queue_answer (request);
+  request->suspended = true;
+  MHD_suspend_connection (connection);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *data, struct MHD_Connection *connection, void **slot,
+              enum MHD_RequestTerminationCode code)
+{
+  KqHttpRequest *request = *slot;
+  (void)data;
+  (void)connection;
+  (void)code;
+  if (request == NULL)
+    return;
+  *slot = NULL;
+  if (request->closed != NULL)
+    request->closed (request, request->closed_data);
+  free_request (request);
+}
+
+static int
+open_socket (const KqAddress *listen_address, KqHttpServer *server, KqError *error)
+{
+  char text[KQ_ADDRESS_TEXT_BYTES];
+  struct sockaddr_in6 address = { .sin6_family = AF_INET6 };
+  socklen_t size = sizeof address;
+  int on = 1;
+  int off = 0;
+  int fd = socket (AF_INET6, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  memcpy (&address.sin6_addr, listen_address->ip, sizeof address.sin6_addr);
+  address.sin6_port = htons (listen_address->port);
+  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0 ||
+      setsockopt (fd, IPPROTO_IPV6, IPV6_V6ONLY, &off, sizeof off) < 0 ||
+      bind (fd, (struct sockaddr *)&address, sizeof address) < 0 ||
+      listen (fd, CONNECTIONS_MAX) < 0 || getsockname (fd, (struct sockaddr *)&address, &size) < 0)
+    {
+      kq_error_set (error, KQ_ERROR_SYSTEM,
+                    "cannot listen on %s: %s; free the port or set another address",
+                    kq_address_format (listen_address, text), strerror (errno));
+      if (fd >= 0)
+        close (fd);
+      return -1;
+    }
+  server->port = ntohs (address.sin6_port);
+  return fd;
+}
+
+/* A suspended connection must be resumed before its daemon can stop. */
+static int
+destroy (KqHttpServer *server)
+{
+  server->ending = true;
+  for (KqHttpRequest *request = server->requests; request != NULL; request = request->next)
+    {
+      request->closed = NULL;
+      resume (request);
+    }
+  MHD_stop_daemon (server->daemon);
+  return 0;
+}
+
+static int
+start_daemon (KqHttpServer *server, int fd)
+{
+  server->daemon =
+      MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
+                        MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+                        server, MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
+                        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_IDLE_S, MHD_OPTION_END);
+  if (server->daemon == NULL)
+    return -1;
+  talloc_set_destructor (server, destroy);
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  if (info == NULL || tevent_add_fd (server->ev, server, info->epoll_fd, TEVENT_FD_READ,
+                                     on_readable, server) == NULL)
+    return -1;
+  return 0;
+}
+
+KqHttpServer *
+kq_http_server_new (const void *parent, struct tevent_context *ev, const KqAddress *listen_address,
+                    KqHttpHandler handler, void *data, KqError *error)
+{
+  KqHttpServer *server = talloc_zero (parent, KqHttpServer);
+  server->ev = ev;
+  server->handler = handler;
+  server->data = data;
+  int fd = open_socket (listen_address, server, error);
+  if (fd < 0)
+    goto error;
+  if (start_daemon (server, fd) < 0)
+    {
+      kq_error_set (error, KQ_ERROR_SYSTEM,
+                    "cannot start the HTTP server; raise the limit of open files");
+      if (server->daemon == NULL)
+        close (fd);
+      goto error;
+    }
+  return server;
+
+error:
+  talloc_free (server);
+  return NULL;
+}
+
+uint16_t
+kq_http_port (const KqHttpServer *server)
+{
+  return server->port;
+}
+
+const char *
+kq_http_query (KqHttpRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+const char *
+kq_http_header (KqHttpRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
+}
+
+void
+kq_http_respond (KqHttpRequest *request, unsigned status, const char *content_type,
+                 const char *body, size_t size)
+{
+  if (request->response != NULL)
+    return;
+  request->status = status;
+  request->response =
+      MHD_create_response_from_buffer (size, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
+  resume (request);
+}
+
+static ssize_t
+read_stream (void *data, uint64_t position, char *out, size_t capacity)
+{
+  KqHttpRequest *request = data;
+  size_t size = request->stream == NULL ? 0 : talloc_get_size (request->stream);
+  (void)position;
+  if (size == 0 && request->stream_end)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (size == 0)
+    {
+      request->suspended = true;
+      MHD_suspend_connection (request->connection);
+      return 0;
+    }
+  size_t taken = size < capacity ? size : capacity;
+  memcpy (out, request->stream, taken);
+  memmove (request->stream, request->stream + taken, size - taken);
+  if (taken == size)
+    TALLOC_FREE (request->stream);
+  else
+    request->stream = talloc_realloc (request, request->stream, char, size - taken);
+  return (ssize_t)taken;
+}
+
+void
+kq_http_stream_begin (KqHttpRequest *request, const char *content_type,
+                      void (*closed) (KqHttpRequest *request, void *data), void *data)
+{
+  request->streaming = true;
+  request->closed = closed;
+  request->closed_data = data;
+  request->status = MHD_HTTP_OK;
+  request->response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
+                                                         read_stream, request, NULL);
+  MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
+  resume (request);
+}
+
+void
+kq_http_stream_write (KqHttpRequest *request, const char *bytes, size_t size)
+{
+  size_t held = request->stream == NULL ? 0 : talloc_get_size (request->stream);
+  request->stream = talloc_realloc (request, request->stream, char, held + size);
+  memcpy (request->stream + held, bytes, size);
+  resume (request);
+}
+
+void
+kq_http_stream_end (KqHttpRequest *request)
+{
+  request->stream_end = true;
+  resume (request);
+}
--- /dev/null
+++ b/tests/unit/test_http_server.c
@@ -0,0 +1,158 @@
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "kumquat/http_server.h"
+#include "unit.h"
+
+/**
+ * struct Fixture - a server and one client connection on the same loop
+ */
+typedef struct
+{
+  struct tevent_context *ev;
+  KqHttpServer *server;
+  KqHttpRequest *pending;
+  int client;
+  bool closed;
+  char got[8192];
+  size_t got_size;
+} Fixture;
+
+static void
+on_request (KqHttpRequest *request, const char *method, const char *path, const char *body,
+            size_t size, void *data)
+{
+  Fixture *fixture = data;
+  const char *answer = strcmp (method, "POST") == 0 ? body : "now";
+  if (strcmp (path, "/late") == 0)
+    fixture->pending = request;
+  else
+    kq_http_respond (request, 200, "text/plain", answer, size > 0 ? size : strlen (answer));
+}
+
+static Fixture *
+set_up (void)
+{
+  KqAddress listen_address;
+  Fixture *fixture = talloc_zero (NULL, Fixture);
+  kq_address_parse ("127.0.0.1:0", &listen_address, NULL);
+  fixture->ev = tevent_context_init (fixture);
+  fixture->server =
+      kq_http_server_new (fixture, fixture->ev, &listen_address, on_request, fixture, NULL);
+  CU_ASSERT_FATAL (fixture->server != NULL);
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  address.sin_port = htons (kq_http_port (fixture->server));
+  fixture->client = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_FATAL (connect (fixture->client, (struct sockaddr *)&address, sizeof address) == 0);
+  return fixture;
+}
+
+static void
+tear_down (Fixture *fixture)
+{
+  close (fixture->client);
+  talloc_free (fixture);
+}
+
+static void
+send_text (Fixture *fixture, const char *text)
+{
+  CU_ASSERT (send (fixture->client, text, strlen (text), 0) == (ssize_t)strlen (text));
+}
+
+static bool
+has_received (Fixture *fixture, const char *text)
+{
+  ssize_t size = recv (fixture->client, fixture->got + fixture->got_size,
+                       sizeof fixture->got - fixture->got_size - 1, MSG_DONTWAIT);
+  if (size > 0)
+    fixture->got_size += (size_t)size;
+  return strstr (fixture->got, text) != NULL;
+}
+
+static void
+wait_for (Fixture *fixture, const char *text)
+{
+  while (!has_received (fixture, text))
+    tevent_loop_once (fixture->ev);
+}
+
+static void
+test_answers_at_once_and_late (void)
+{
+  Fixture *fixture = set_up ();
+  send_text (fixture, "GET /now HTTP/1.1\r\nHost: x\r\n\r\n");
+  wait_for (fixture, "\r\n\r\nnow");
+  send_text (fixture, "GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+  while (fixture->pending == NULL)
+    tevent_loop_once (fixture->ev);
+  kq_http_respond (fixture->pending, 503, "text/plain", "later", 5);
+  wait_for (fixture, "\r\n\r\nlater");
+  CU_ASSERT (strstr (fixture->got, "HTTP/1.1 503") != NULL);
+  tear_down (fixture);
+}
+
+static void
+test_takes_a_body_in_pieces (void)
+{
+  Fixture *fixture = set_up ();
+  send_text (fixture, "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc");
+  tevent_loop_once (fixture->ev);
+  send_text (fixture, "def");
+  wait_for (fixture, "\r\n\r\nabcdef");
+  tear_down (fixture);
+}
+
+static void
+on_closed (KqHttpRequest *request, void *data)
+{
+  Fixture *fixture = data;
+  (void)request;
+  fixture->closed = true;
+}
+
+static void
+test_streams_until_its_end (void)
+{
+  Fixture *fixture = set_up ();
+  send_text (fixture, "GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+  while (fixture->pending == NULL)
+    tevent_loop_once (fixture->ev);
+  kq_http_stream_begin (fixture->pending, "text/plain", on_closed, fixture);
+  kq_http_stream_write (fixture->pending, "one\n", 4);
+  wait_for (fixture, "one\n");
+  kq_http_stream_write (fixture->pending, "two\n", 4);
+  wait_for (fixture, "two\n");
+  kq_http_stream_end (fixture->pending);
+  while (!fixture->closed)
+    tevent_loop_once (fixture->ev);
+  tear_down (fixture);
+}
+
+static void
+test_ends_with_a_request_open (void)
+{
+  Fixture *fixture = set_up ();
+  send_text (fixture, "GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+  while (fixture->pending == NULL)
+    tevent_loop_once (fixture->ev);
+  tear_down (fixture);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "answers at once and late", test_answers_at_once_and_late },
+    { "takes a body in pieces", test_takes_a_body_in_pieces },
+    { "streams until its end", test_streams_until_its_end },
+    { "ends with a request open", test_ends_with_a_request_open },
+  };
+  return kq_unit_run ("http_server", tests, sizeof tests / sizeof tests[0]);
+}
