Data path and life of balancer and agent

Cause: the whole path needs its two daemons. The agent keeps what one incarnation believes under one talloc parent, so that a process that was taken for dead while paused drops all of it at once. Ruled out: one socket for all flows towards the target; the target could then not tell flows apart. The datagram travels back with a refusal, so that the balancer needs no copy to send it elsewhere.

--- /dev/null
+++ b/include/kumquat/balancer.h
@@ -0,0 +1,56 @@
+/* The process on an entry instance: spreads callers' datagrams over agents and returns answers. */
+#pragma once
+
+#include <tevent.h>
+
+#include "kumquat/control.h"
+#include "kumquat/types.h"
+
+#define KQ_STORE_ENDPOINTS_MAX 8
+#define KQ_WORKERS_MAX         32
+
+typedef struct KqBalancer KqBalancer;
+
+/**
+ * struct KqBalancerParams - settings of one balancer
+ * @name: unique name of this instance
+ * @failure_domain: where it runs
+ * @data: where agents send answers; services listen on the same IP
+ * @workers: threads that carry datagrams
+ * @flows_max: flows whose owner is remembered
+ * @flow_idle_us: an unused one is forgotten after so long
+ * @control: as in KqControlParams
+ * @store: (array): addresses of the store's HTTP gateway
+ * @store_count: length of @store
+ * @store_timeout_us: limit of one call to the store
+ * @http: where operators and metrics are served
+ * @operator_key: what operators must present
+ * @linger_us: how long it forwards after a shutdown was asked for
+ */
+typedef struct
+{
+  char name[KQ_NAME_BYTES];
+  char failure_domain[KQ_NAME_BYTES];
+  KqAddress data;
+  unsigned workers;
+  unsigned flows_max;
+  KqTime flow_idle_us;
+  KqControlParams control;
+  KqAddress store[KQ_STORE_ENDPOINTS_MAX];
+  unsigned store_count;
+  KqTime store_timeout_us;
+  KqAddress http;
+  char operator_key[128];
+  KqTime linger_us;
+} KqBalancerParams;
+
+/** kq_balancer_new - Return: (owned by @parent) a running balancer, or NULL with @error set */
+KqBalancer *kq_balancer_new (const void *parent, struct tevent_context *ev,
+                             const KqBalancerParams *params, KqError *error);
+
+/** kq_balancer_shutdown - says that it is not ready, leaves, forwards for the linger time, and then
+ * calls @done */
+void kq_balancer_shutdown (KqBalancer *balancer, void (*done) (void *data), void *data);
+
+/** kq_balancer_main - runs the program `kumquat-balancer`; Return: its exit status */
+int kq_balancer_main (int argc, const char **argv);
--- a/include/kumquat/control.h
+++ b/include/kumquat/control.h
@@ -30,11 +30,13 @@
  * struct KqControlOps - what the control plane tells its process; all pointers are borrowed
  * @members_changed: a member joined, left, died, or changed what it says of itself
  * @document_changed: a newer document of a service was accepted
+ * @woke: others took this process for dead while it was paused; it goes on under @incarnation
  */
 typedef struct
 {
   void (*members_changed) (void *data);
   void (*document_changed) (const KqDocument *document, void *data);
+  void (*woke) (uint64_t incarnation, void *data);
 } KqControlOps;
 
 /**
@@ -118,3 +120,6 @@
 
 /** kq_control_metrics - writes Prometheus text; Return: (owned by @parent) the text */
 char *kq_control_metrics (const void *parent, const KqControl *control);
+
+/** kq_control_set_service - announces which service this agent's target serves */
+void kq_control_set_service (KqControl *control, uint32_t service);
--- /dev/null
+++ b/include/kumquat/internal/agent_impl.h
@@ -0,0 +1,73 @@
+/* State of one agent, shared by the files agent*.c. */
+#pragma once
+
+#include "kumquat/agent.h"
+#include "kumquat/http_server.h"
+#include "kumquat/internal/flow_sockets.h"
+#include "kumquat/internal/return_path.h"
+#include "kumquat/internal/target_probe.h"
+#include "kumquat/metrics.h"
+#include "kumquat/placement.h"
+#include "kumquat/request_guard.h"
+#include "kumquat/service_catalog.h"
+
+/**
+ * struct KqAgentCounters - what the agent itself counts
+ */
+typedef struct
+{
+  uint64_t datagrams_in;
+  uint64_t datagrams_malformed;
+  uint64_t wrong_service;
+  uint64_t stale_incarnation;
+  uint64_t sent_to_target;
+  uint64_t target_unreachable;
+  uint64_t answers_sent;
+  uint64_t answers_without_path;
+  uint64_t lives;
+} KqAgentCounters;
+
+/**
+ * struct KqAgent - one agent
+ * @life: talloc parent of what one incarnation believes: @placement, @guard and @flows; NULL before
+ *   the service is known
+ * @current_via: balancer of the datagram that is handled now, for refusals of flows not held
+ */
+struct KqAgent
+{
+  KqAgentParams params;
+  struct tevent_context *ev;
+  KqControl *control;
+  KqServiceCatalog *catalog;
+  KqService service;
+  KqHttpServer *http;
+  KqMetrics *metrics;
+  KqTargetProbe *probe;
+  KqReturnPaths paths;
+  KqRandom random;
+  struct tevent_fd *data_event;
+  int data_fd;
+  void *life;
+  KqPeer self;
+  KqPlacement *placement;
+  KqRequestGuard *guard;
+  KqFlowSockets *flows;
+  const KqAddress *current_via;
+  KqAgentCounters counters;
+  KqTargetPhase phase;
+  bool shutting_down;
+  bool left;
+  KqTime shutdown_at;
+  KqTime left_at;
+  void (*shutdown_done) (void *data);
+  void *shutdown_data;
+};
+
+/* agent_data.c */
+int kq_agent_data_open (KqAgent *agent, KqError *error);
+int kq_agent_life_start (KqAgent *agent);
+void kq_agent_life_end (KqAgent *agent);
+void kq_agent_limits_apply (KqAgent *agent);
+
+/* agent_http.c */
+int kq_agent_http_open (KqAgent *agent, KqError *error);
--- a/include/kumquat/request_guard.h
+++ b/include/kumquat/request_guard.h
@@ -103,3 +103,7 @@
 bool kq_request_guard_idle (const KqRequestGuard *guard);
 
 KqRequestGuardStats kq_request_guard_stats (const KqRequestGuard *guard);
+
+/** kq_request_guard_set_limits - takes other limits; requests that run or wait stay */
+void kq_request_guard_set_limits (KqRequestGuard *guard, unsigned slots, KqTime deadline_us,
+                                  KqTime now);
--- a/src/connection/placement.c
+++ b/src/connection/placement.c
@@ -153,10 +153,10 @@
 }
 
 void
-kq_placement_drain (KqPlacement *placement, KqTime now)
+kq_placement_set_draining (KqPlacement *placement, bool draining, KqTime now)
 {
   (void)now;
-  placement->draining = true;
+  placement->draining = draining;
 }
 
 KqPlacementStats
--- /dev/null
+++ b/src/connection/return_path.c
@@ -0,0 +1,64 @@
+#include "kumquat/internal/return_path.h"
+
+static int
+find (const KqReturnPaths *paths, const KqAddress *address)
+{
+  for (unsigned i = 0; i < paths->count; i++)
+    if (kq_address_equal (&paths->addresses[i], address))
+      return (int)i;
+  return -1;
+}
+
+/* Reuses the place of a balancer that is gone when the table is full. */
+static int
+place_for_new (KqReturnPaths *paths)
+{
+  if (paths->count < KQ_RETURN_PATHS_MAX)
+    return (int)paths->count++;
+  for (unsigned i = 0; i < paths->count; i++)
+    if (!paths->alive[i])
+      return (int)i;
+  return -1;
+}
+
+void
+kq_return_paths_update (KqReturnPaths *paths, const KqMember *members, unsigned count)
+{
+  for (unsigned i = 0; i < paths->count; i++)
+    paths->alive[i] = false;
+  for (unsigned i = 0; i < count; i++)
+    {
+      if (members[i].role != KQ_ROLE_BALANCER)
+        continue;
+      int place = find (paths, &members[i].peer.data);
+      if (place < 0)
+        place = place_for_new (paths);
+      if (place < 0)
+        return;
+      paths->addresses[place] = members[i].peer.data;
+      paths->alive[place] = members[i].state == KQ_MEMBER_ALIVE;
+    }
+}
+
+static const KqAddress *
+random_live (const KqReturnPaths *paths, KqRandom *random)
+{
+  unsigned start = paths->count == 0 ? 0 : (unsigned)kq_random_below (random, paths->count);
+  for (unsigned i = 0; i < paths->count; i++)
+    {
+      unsigned place = (start + i) % paths->count;
+      if (paths->alive[place])
+        return &paths->addresses[place];
+    }
+  return NULL;
+}
+
+const KqAddress *
+kq_return_paths_choose (const KqReturnPaths *paths, const KqAddress *via, KqRandom *random)
+{
+  int place = find (paths, via);
+  if (place < 0 || paths->alive[place])
+    return via;
+  const KqAddress *other = random_live (paths, random);
+  return other == NULL ? via : other;
+}
--- /dev/null
+++ b/src/process/agent.c
@@ -0,0 +1,259 @@
+/* Life of an agent: it learns its service's configuration from its peers, announces its target,
+ * follows the configuration's drains, and shuts down without cutting a request. */
+
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "kumquat/internal/agent_impl.h"
+#include "kumquat/internal/clock.h"
+#include "kumquat/log.h"
+#include "kumquat/service_document.h"
+
+#define TICK_MS 5
+
+static KqMember
+own_member (const KqAgent *agent)
+{
+  return *kq_control_self (agent->control);
+}
+
+static KqTargetPhase
+wanted_phase (const KqAgent *agent)
+{
+  KqMember self = own_member (agent);
+  if (agent->service.number == 0)
+    return KQ_PHASE_STARTING;
+  if (agent->shutting_down || agent->service.removed || !kq_service_admits (&agent->service, &self))
+    return KQ_PHASE_DRAINING;
+  if (!kq_target_probe_answers (agent->probe) && agent->service.protocol == KQ_PROTOCOL_COAP)
+    return KQ_PHASE_STARTING;
+  return KQ_PHASE_SERVING;
+}
+
+static const char *
+phase_name (KqTargetPhase phase)
+{
+  static const char *const names[] = { "starting", "serving", "draining" };
+  return names[phase];
+}
+
+static void
+update_view (KqAgent *agent)
+{
+  unsigned count;
+  if (agent->placement == NULL)
+    return;
+  const KqMember *members = kq_control_members (agent->control, &count);
+  KqServiceView view;
+  void *scratch = talloc_new (agent);
+  if (kq_service_view_collect (scratch, &agent->service, members, count, &view) == 0)
+    kq_placement_set_view (agent->placement, &view, kq_clock_now ());
+  talloc_free (scratch);
+}
+
+/* Announces the phase that follows from configuration, target and shutdown. */
+static void
+update_phase (KqAgent *agent)
+{
+  KqTargetPhase phase = wanted_phase (agent);
+  if (phase == agent->phase)
+    return;
+  kq_log (LOG_NOTICE, "phase-changed", "from=%s to=%s", phase_name (agent->phase),
+          phase_name (phase));
+  agent->phase = phase;
+  if (agent->placement != NULL)
+    kq_placement_set_draining (agent->placement, phase != KQ_PHASE_SERVING, kq_clock_now ());
+  kq_control_set_phase (agent->control, phase);
+  update_view (agent);
+}
+
+static void
+members_changed (void *data)
+{
+  KqAgent *agent = data;
+  unsigned count;
+  if (agent->control == NULL)
+    return;
+  const KqMember *members = kq_control_members (agent->control, &count);
+  kq_return_paths_update (&agent->paths, members, count);
+  update_view (agent);
+}
+
+static void
+apply_service (KqAgent *agent, const KqService *service)
+{
+  bool first = agent->service.number == 0;
+  agent->service = *service;
+  if (first)
+    {
+      kq_control_set_service (agent->control, service->number);
+      if (kq_agent_life_start (agent) < 0)
+        kq_log (LOG_ERR, "life-start-failed", "remedy=\"raise the memory limit\"");
+    }
+  else if (agent->guard != NULL)
+    kq_agent_limits_apply (agent);
+  kq_log (LOG_NOTICE, "service-in-force", "service=%s number=%u epoch=%u revision=%llu",
+          service->name, service->number, service->revision.epoch,
+          (unsigned long long)service->revision.revision);
+  update_phase (agent);
+  update_view (agent);
+}
+
+static void
+document_changed (const KqDocument *document, void *data)
+{
+  KqAgent *agent = data;
+  KqService service;
+  KqError error = { 0 };
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  if (kq_service_parse (document->bytes, document->size, document->revision, &service, &error) < 0)
+    {
+      kq_log (LOG_ERR, "document-refused", "service=%u error=%s", document->service,
+              kq_log_quote (error.message, quoted));
+      return;
+    }
+  if (strcmp (service.name, agent->params.service) != 0)
+    return;
+  if (agent->service.number != 0 && service.number != agent->service.number)
+    return;
+  apply_service (agent, &service);
+}
+
+/* Other instances took this process for dead while it was paused: its flows went elsewhere. */
+static void
+woke (uint64_t incarnation, void *data)
+{
+  KqAgent *agent = data;
+  kq_log (LOG_WARNING, "woke-after-pause", "incarnation=%llu", (unsigned long long)incarnation);
+  if (agent->placement == NULL)
+    return;
+  kq_agent_life_end (agent);
+  if (kq_agent_life_start (agent) < 0)
+    kq_log (LOG_ERR, "life-start-failed", "remedy=\"raise the memory limit\"");
+  if (agent->placement != NULL)
+    kq_placement_set_draining (agent->placement, agent->phase != KQ_PHASE_SERVING, kq_clock_now ());
+  update_view (agent);
+}
+
+static void
+target_changed (bool answers, void *data)
+{
+  KqAgent *agent = data;
+  kq_log (LOG_NOTICE, answers ? "target-answers" : "target-silent", "service=%s",
+          agent->params.service);
+  update_phase (agent);
+}
+
+static bool
+nothing_in_progress (const KqAgent *agent)
+{
+  if (agent->placement == NULL)
+    return true;
+  return kq_request_guard_idle (agent->guard) &&
+         kq_placement_stats (agent->placement).flows_open == 0;
+}
+
+static void
+continue_shutdown (KqAgent *agent, KqTime now)
+{
+  bool limit_passed = now - agent->shutdown_at >= agent->params.drain_limit_us;
+  if (!agent->left && (nothing_in_progress (agent) || limit_passed))
+    {
+      uint64_t cut =
+          agent->placement == NULL ? 0 : kq_placement_stats (agent->placement).flows_open;
+      kq_log (LOG_NOTICE, "drain-finished", "flows_cut=%llu", (unsigned long long)cut);
+      agent->left = true;
+      agent->left_at = now;
+      kq_control_leave (agent->control);
+    }
+  if (agent->left && now - agent->left_at >= agent->params.linger_us)
+    {
+      void (*done) (void *) = agent->shutdown_done;
+      agent->shutdown_done = NULL;
+      if (done != NULL)
+        done (agent->shutdown_data);
+    }
+}
+
+static void
+on_tick (struct tevent_context *ev, struct tevent_timer *timer, struct timeval at, void *data)
+{
+  KqAgent *agent = data;
+  KqTime now = kq_clock_now ();
+  (void)timer;
+  (void)at;
+  if (agent->placement != NULL)
+    {
+      kq_placement_tick (agent->placement, now);
+      kq_request_guard_tick (agent->guard, now);
+    }
+  if (agent->shutting_down)
+    continue_shutdown (agent, now);
+  tevent_add_timer (ev, agent, tevent_timeval_current_ofs (0, TICK_MS * 1000), on_tick, agent);
+}
+
+static int
+destroy (KqAgent *agent)
+{
+  TALLOC_FREE (agent->data_event);
+  if (agent->data_fd >= 0)
+    close (agent->data_fd);
+  return 0;
+}
+
+static int
+start_control (KqAgent *agent, KqError *error)
+{
+  static const KqControlOps ops = { .members_changed = members_changed,
+                                    .document_changed = document_changed,
+                                    .woke = woke };
+  const KqAgentParams *params = &agent->params;
+  KqControlParams control = params->control;
+  KqMember *self = &control.self;
+  self->peer.id = kq_hash_name (params->name);
+  self->peer.incarnation = kq_clock_wall_us ();
+  self->peer.data = params->data;
+  self->role = KQ_ROLE_AGENT;
+  self->state = KQ_MEMBER_ALIVE;
+  self->phase = KQ_PHASE_STARTING;
+  self->weight = params->weight;
+  memcpy (self->name, params->name, sizeof self->name);
+  memcpy (self->failure_domain, params->failure_domain, sizeof self->failure_domain);
+  agent->control = kq_control_new (agent, agent->ev, &control, &ops, agent, error);
+  return agent->control == NULL ? -1 : 0;
+}
+
+KqAgent *
+kq_agent_new (const void *parent, struct tevent_context *ev, const KqAgentParams *params,
+              KqError *error)
+{
+  KqAgent *agent = talloc_zero (parent, KqAgent);
+  if (agent == NULL)
+    return NULL;
+  agent->data_fd = -1;
+  agent->ev = ev;
+  agent->params = *params;
+  talloc_set_destructor (agent, destroy);
+  kq_random_seed_system (&agent->random);
+  agent->probe = kq_target_probe_new (agent, ev, &params->target, target_changed, agent, error);
+  if (agent->probe == NULL || kq_agent_data_open (agent, error) < 0 ||
+      start_control (agent, error) < 0 || kq_agent_http_open (agent, error) < 0)
+    goto error;
+  tevent_add_timer (ev, agent, tevent_timeval_zero (), on_tick, agent);
+  return agent;
+
+error:
+  talloc_free (agent);
+  return NULL;
+}
+
+void
+kq_agent_shutdown (KqAgent *agent, void (*done) (void *data), void *data)
+{
+  agent->shutting_down = true;
+  agent->shutdown_at = kq_clock_now ();
+  agent->shutdown_done = done;
+  agent->shutdown_data = data;
+  update_phase (agent);
+}
--- /dev/null
+++ b/src/process/agent_data.c
@@ -0,0 +1,313 @@
+/* The data path of an agent: datagrams of balancers and agents in, answers out. */
+
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "kumquat/internal/agent_impl.h"
+#include "kumquat/internal/clock.h"
+#include "kumquat/internal/udp_socket.h"
+#include "kumquat/log.h"
+
+#define DIRECTORY_MAX        200000 /* flows of other targets that a home keeps */
+#define KEPT_ANSWERS_MAX     20000
+#define KEPT_ANSWER_LIFETIME (247 * KQ_SECOND) /* EXCHANGE_LIFETIME of RFC 7252 */
+#define ECHO_LIFETIME        (60 * KQ_SECOND)
+
+static void
+send_packet (KqAgent *agent, const KqAddress *to, const KqPacket *packet)
+{
+  uint8_t bytes[KQ_DATAGRAM_BYTES];
+  int size = kq_packet_encode (packet, bytes, sizeof bytes);
+  if (size >= 0)
+    kq_udp_send (agent->data_fd, to, bytes, (size_t)size);
+}
+
+static bool
+is_coap (const KqAgent *agent)
+{
+  return agent->service.protocol == KQ_PROTOCOL_COAP;
+}
+
+/* Answers of the target or of the guard go back through a balancer. */
+static void
+send_answer (const KqFlowKey *key, const uint8_t *bytes, size_t size, void *data)
+{
+  KqAgent *agent = data;
+  const KqAddress *via = kq_flow_sockets_via (agent->flows, key);
+  if (via == NULL)
+    via = agent->current_via;
+  if (via == NULL)
+    {
+      agent->counters.answers_without_path++;
+      return;
+    }
+  via = kq_return_paths_choose (&agent->paths, via, &agent->random);
+  KqPacket packet = { .type = KQ_PACKET_ANSWER,
+                      .key = *key,
+                      .revision = agent->service.revision,
+                      .via = *via,
+                      .from = agent->self,
+                      .payload = bytes,
+                      .payload_size = size };
+  agent->counters.answers_sent++;
+  send_packet (agent, via, &packet);
+}
+
+static void
+send_to_target (const KqFlowKey *key, const uint8_t *bytes, size_t size, void *data)
+{
+  KqAgent *agent = data;
+  agent->counters.sent_to_target++;
+  if (kq_flow_sockets_send (agent->flows, key, bytes, size, NULL) < 0)
+    agent->counters.target_unreachable++;
+}
+
+static void
+request_finished (const KqFlowKey *key, KqTime latency, bool answered, void *data)
+{
+  (void)key;
+  (void)latency;
+  (void)answered;
+  (void)data;
+}
+
+static void
+target_sent (const KqFlowKey *key, const uint8_t *bytes, size_t size, void *data)
+{
+  KqAgent *agent = data;
+  KqTime now = kq_clock_now ();
+  kq_placement_touch (agent->placement, key, now);
+  if (is_coap (agent))
+    kq_request_guard_from_target (agent->guard, key, bytes, size, now);
+  else
+    send_answer (key, bytes, size, agent);
+}
+
+static void
+place_send (const KqPeer *to, const uint8_t *bytes, size_t size, void *data)
+{
+  KqAgent *agent = data;
+  KqPacket packet = { .type = KQ_PACKET_PEER,
+                      .key.service = agent->service.number,
+                      .revision = agent->service.revision,
+                      .to = to->incarnation,
+                      .from = agent->self,
+                      .payload = bytes,
+                      .payload_size = size };
+  send_packet (agent, &to->data, &packet);
+}
+
+static void
+place_deliver (const KqPacket *packet, void *data)
+{
+  KqAgent *agent = data;
+  if (kq_flow_sockets_set_via (agent->flows, &packet->key, &packet->via) < 0)
+    return;
+  if (is_coap (agent))
+    kq_request_guard_from_caller (agent->guard, &packet->key, packet->payload, packet->payload_size,
+                                  kq_clock_now ());
+  else
+    send_to_target (&packet->key, packet->payload, packet->payload_size, agent);
+}
+
+static void
+place_forward (const KqPeer *to, const KqPacket *packet, void *data)
+{
+  KqAgent *agent = data;
+  KqPacket passed = *packet;
+  passed.to = to->incarnation;
+  passed.hops++;
+  send_packet (agent, &to->data, &passed);
+}
+
+/* The datagram goes back with the refusal, so that the balancer can send it elsewhere. */
+static void
+return_to_balancer (KqAgent *agent, const KqPacket *packet, KqErrorKind reason)
+{
+  KqPacket refused = *packet;
+  refused.type = KQ_PACKET_REFUSED;
+  refused.reason = reason;
+  refused.from = agent->self;
+  send_packet (agent, &packet->via, &refused);
+}
+
+static void
+place_refuse (const KqPacket *packet, KqErrorKind reason, void *data)
+{
+  KqAgent *agent = data;
+  if (reason == KQ_ERROR_STALE)
+    agent->counters.stale_incarnation++;
+  if (reason == KQ_ERROR_WRONG_SERVICE)
+    agent->counters.wrong_service++;
+  if (reason == KQ_ERROR_STALE || reason == KQ_ERROR_WRONG_SERVICE || !is_coap (agent))
+    {
+      return_to_balancer (agent, packet, reason);
+      return;
+    }
+  const KqAddress *outer = agent->current_via;
+  agent->current_via = &packet->via;
+  kq_request_guard_refuse (agent->guard, &packet->key, packet->payload, packet->payload_size,
+                           reason, kq_clock_now ());
+  agent->current_via = outer;
+}
+
+static unsigned
+place_load (void *data)
+{
+  KqAgent *agent = data;
+  if (is_coap (agent))
+    return kq_request_guard_load (agent->guard, kq_clock_now ());
+  KqPlacementStats stats = kq_placement_stats (agent->placement);
+  return (unsigned)(stats.flows_open * 1000 / agent->service.connections);
+}
+
+static void
+place_closed (const KqFlowKey *key, void *data)
+{
+  KqAgent *agent = data;
+  kq_request_guard_flow_closed (agent->guard, key, kq_clock_now ());
+  kq_flow_sockets_close (agent->flows, key);
+}
+
+static KqRequestGuard *
+make_guard (KqAgent *agent)
+{
+  static const KqRequestGuardOps ops = { .to_target = send_to_target,
+                                         .to_caller = send_answer,
+                                         .finished = request_finished };
+  KqRequestGuardParams params = { .target_id = agent->self.id,
+                                  .incarnation = agent->self.incarnation,
+                                  .slots = agent->service.slots,
+                                  .queue_max = agent->params.queue_max,
+                                  .deadline_us = agent->service.deadline_ms * KQ_MS,
+                                  .kept_answers_max = KEPT_ANSWERS_MAX,
+                                  .kept_answer_us = KEPT_ANSWER_LIFETIME,
+                                  .echo_us = ECHO_LIFETIME,
+                                  .ramp_us = agent->params.ramp_us,
+                                  .seed = kq_random_next (&agent->random) };
+  memcpy (params.echo_key, agent->params.echo_key, sizeof params.echo_key);
+  return kq_request_guard_new (agent->life, &params, &ops, agent);
+}
+
+static KqPlacement *
+make_placement (KqAgent *agent)
+{
+  static const KqPlacementOps ops = { .send = place_send,
+                                      .deliver = place_deliver,
+                                      .forward = place_forward,
+                                      .refuse = place_refuse,
+                                      .load = place_load,
+                                      .closed = place_closed };
+  KqPlacementParams params = { .self = agent->self,
+                               .flows_max = agent->service.connections,
+                               .directory_max = DIRECTORY_MAX,
+                               .idle_us = agent->params.flow_idle_us,
+                               .admit_load = agent->params.admit_load,
+                               .seed = kq_random_next (&agent->random) };
+  return kq_placement_new (agent->life, &params, &ops, agent);
+}
+
+int
+kq_agent_life_start (KqAgent *agent)
+{
+  static const KqFlowSocketsOps ops = { .received = target_sent };
+  agent->self = kq_control_self (agent->control)->peer;
+  agent->life = talloc_new (agent);
+  agent->flows = kq_flow_sockets_new (agent->life, agent->ev, &agent->params.target, &ops, agent);
+  agent->guard = make_guard (agent);
+  agent->placement = make_placement (agent);
+  if (agent->flows == NULL || agent->guard == NULL || agent->placement == NULL)
+    {
+      kq_agent_life_end (agent);
+      return -1;
+    }
+  agent->counters.lives++;
+  return 0;
+}
+
+void
+kq_agent_life_end (KqAgent *agent)
+{
+  TALLOC_FREE (agent->life);
+  agent->flows = NULL;
+  agent->guard = NULL;
+  agent->placement = NULL;
+}
+
+static void
+take_peer_message (KqAgent *agent, const KqPacket *packet, KqTime now)
+{
+  KqError error = { 0 };
+  if (packet->to != agent->self.incarnation)
+    {
+      agent->counters.stale_incarnation++;
+      return;
+    }
+  if (kq_placement_message (agent->placement, &packet->from, packet->payload, packet->payload_size,
+                            now, &error) < 0)
+    kq_log (LOG_NOTICE, "placement-message-refused", "reason=%s", kq_error_kind_name (error.kind));
+}
+
+static void
+receive_datagram (const KqAddress *from, const uint8_t *bytes, size_t size, void *data)
+{
+  KqAgent *agent = data;
+  KqPacket packet;
+  (void)from;
+  agent->counters.datagrams_in++;
+  if (size > KQ_DATAGRAM_BYTES || kq_packet_decode (bytes, size, &packet, NULL) < 0)
+    {
+      agent->counters.datagrams_malformed++;
+      return;
+    }
+  bool request = packet.type == KQ_PACKET_REQUEST;
+  if (!request && packet.type != KQ_PACKET_PEER)
+    {
+      agent->counters.datagrams_malformed++;
+      return;
+    }
+  if (agent->placement == NULL || packet.key.service != agent->service.number)
+    {
+      agent->counters.wrong_service++;
+      if (request)
+        return_to_balancer (agent, &packet, KQ_ERROR_WRONG_SERVICE);
+      return;
+    }
+  agent->current_via = &packet.via;
+  if (request)
+    kq_placement_packet (agent->placement, &packet, kq_clock_now ());
+  else
+    take_peer_message (agent, &packet, kq_clock_now ());
+  agent->current_via = NULL;
+}
+
+static void
+on_readable (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+  (void)ev;
+  (void)fde;
+  (void)flags;
+  KqAgent *agent = data;
+  kq_udp_receive (agent->data_fd, receive_datagram, agent);
+}
+
+int
+kq_agent_data_open (KqAgent *agent, KqError *error)
+{
+  agent->data_fd = kq_udp_open (&agent->params.data, false, error);
+  if (agent->data_fd < 0)
+    return -1;
+  agent->data_event =
+      tevent_add_fd (agent->ev, agent, agent->data_fd, TEVENT_FD_READ, on_readable, agent);
+  if (agent->data_event == NULL)
+    return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory; raise the memory limit");
+  return 0;
+}
+
+void
+kq_agent_limits_apply (KqAgent *agent)
+{
+  kq_request_guard_set_limits (agent->guard, agent->service.slots,
+                               agent->service.deadline_ms * KQ_MS, kq_clock_now ());
+}
--- /dev/null
+++ b/src/process/program_parts.c
@@ -0,0 +1,43 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "kumquat/internal/program_parts.h"
+
+int
+kq_program_parse_key (const char *text, uint8_t key[KQ_KEY_BYTES])
+{
+  size_t length = 0;
+  if (sodium_hex2bin (key, KQ_KEY_BYTES, text, strlen (text), NULL, &length, NULL) < 0)
+    return -1;
+  return length == KQ_KEY_BYTES && strlen (text) == KQ_KEY_DIGITS ? 0 : -1;
+}
+
+void
+kq_program_copy_name (char out[KQ_NAME_BYTES], const char *name)
+{
+  snprintf (out, KQ_NAME_BYTES, "%s", name);
+}
+
+int
+kq_program_check_control (const KqSettings *settings, const char *path, KqError *error)
+{
+  uint8_t key[KQ_KEY_BYTES];
+  if (kq_program_parse_key (kq_settings_text (settings, "control.key"), key) < 0)
+    return kq_error_set (error, KQ_ERROR_INVALID,
+                         "%s: control.key: not hexadecimal; write 64 digits of 0-9 and a-f", path);
+  return 0;
+}
+
+void
+kq_program_control_params (const KqSettings *settings, KqControlParams *params)
+{
+  params->self.control = kq_settings_address (settings, "control.address");
+  params->seed_count =
+      kq_settings_address_list (settings, "control.seeds", params->seeds, KQ_SEEDS_MAX);
+  kq_program_parse_key (kq_settings_text (settings, "control.key"), params->key);
+  params->probe_interval_us = kq_settings_integer (settings, "control.probe_interval_ms") * KQ_MS;
+  params->suspicion_us = kq_settings_integer (settings, "control.suspicion_ms") * KQ_MS;
+  params->budget_bytes_per_s =
+      (unsigned)kq_settings_integer (settings, "control.budget_bytes_per_s");
+}
