--- a/Makefile
+++ b/Makefile
@@ -78,7 +78,7 @@
 
 # Every unit test runs under the address and undefined-behaviour sanitizers; those that use threads
 # run under the thread sanitizer as well.
-check:
+check: dependencies
 	$(MAKE) VARIANT=asan everything
 	$(MAKE) VARIANT=tsan unit-tests
 	tests/run
@@ -97,10 +97,14 @@
 	@$(CLANG_TIDY) --quiet $< -- $(CPPFLAGS) -std=gnu11 2>&1 | { ! grep -E 'warning:|error:' ; }
 	@touch $@
 
+dependencies:
+	@tools/install-packages
+
 clean:
 	rm -rf build
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all everything unit-tests fuzzers benches check format format-check lint clean
+
+.PHONY: dependencies all everything unit-tests fuzzers benches check format format-check lint clean
 .SECONDARY:
