--- a/tests/unit/test_balancer_worker_threads.c
+++ b/tests/unit/test_balancer_worker_threads.c
@@ -14,6 +14,7 @@
 #define WORKERS       3
 #define WAIT_MS       10000
 #define RETRY_MS      200
+#define DATA_PORT     15800
 #define SERVICE_PORT  15801
 #define SERVICE       4
 #define UNKNOWN_BYTES 5
@@ -52,8 +53,8 @@
   KqService service = {
     .number = SERVICE, .revision = { 1, 1 }, .name = "s", .port = SERVICE_PORT
   };
-  kq_address_parse ("127.0.9.2:15800", &bench->forwarder.data, NULL);
-  kq_address_parse ("127.0.9.3:15800", &bench->agent.peer.data, NULL);
+  bench->forwarder.data = kq_unit_address (1, DATA_PORT);
+  bench->agent.peer.data = kq_unit_address (2, DATA_PORT);
   bench->service = bench->forwarder.data;
   bench->service.port = SERVICE_PORT;
   bench->agent.peer.id = 1;
--- a/tests/unit/test_flow_sockets.c
+++ b/tests/unit/test_flow_sockets.c
@@ -58,8 +58,7 @@
   struct tevent_context *ev = tevent_context_init (context);
   static Target target;
   static Answers answers;
-  KqAddress address;
-  kq_address_parse ("127.0.9.1:15701", &address, NULL);
+  KqAddress address = kq_unit_address (0, 15701);
   int fd = kq_udp_open (&address, false, NULL);
   CU_ASSERT_FATAL (fd >= 0);
   KqFlowSockets *sockets = kq_flow_sockets_new (context, ev, &address, &ops, &answers);
--- a/tests/unit/unit.c
+++ b/tests/unit/unit.c
@@ -1,4 +1,6 @@
 #include <CUnit/Basic.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "unit.h"
 
@@ -16,3 +18,15 @@
   CU_cleanup_registry ();
   return failed == 0 ? 0 : 1;
 }
+
+/* 127.0.0.0/8 has room for 21 bits of process id and two of host beside a set high bit. */
+KqAddress
+kq_unit_address (uint8_t host, uint16_t port)
+{
+  unsigned pid = (unsigned)getpid () & 0x1fffff;
+  KqAddress address = { .ip = { [10] = 0xff, [11] = 0xff, [12] = 127 }, .port = port };
+  address.ip[13] = (uint8_t)(0x80 | (pid >> 14));
+  address.ip[14] = (uint8_t)(pid >> 6);
+  address.ip[15] = (uint8_t)((pid << 2) | (host & 3));
+  return address;
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -3,6 +3,8 @@
 
 #include <stddef.h>
 
+#include "kumquat/types.h"
+
 /**
  * struct KqUnitTest - one test case
  * @name: what must hold
@@ -16,3 +18,7 @@
 
 /** kq_unit_run - Return: exit status, 0 when every assertion held */
 int kq_unit_run (const char *suite, const KqUnitTest *tests, size_t count);
+
+/** kq_unit_address - Return: a loopback address of this process's own, so that tests that run at
+ * the same time never share a port; @host tells several instances of one test apart */
+KqAddress kq_unit_address (uint8_t host, uint16_t port);
