--- /dev/null
+++ b/standins/fabric.c
@@ -0,0 +1,256 @@
+/* Stand-in of the fabric: hands each caller's datagram to a random balancer, through faults.
+ *
+ * A caller's flow gets a source address of its own in 127.64.0.0/10, which the balancers see. The
+ * answers come back to that address, whichever balancer sends them. */
+#include <arpa/inet.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "link.h"
+#include "net.h"
+
+#define SERVICES_MAX  16
+#define BALANCERS_MAX 64
+#define FLOWS_MAX     (1u << 20)
+#define FLOW_SLOTS    (FLOWS_MAX * 2)
+#define FIRST_SOURCE  0x7f400001u /* 127.64.0.1 */
+#define BATCH         64
+
+typedef struct Fabric Fabric;
+
+/**
+ * struct Port - one service's port towards the callers and towards the balancers
+ */
+typedef struct
+{
+  Fabric *fabric;
+  uint16_t number;
+  int caller_fd;
+  int balancer_fd;
+} Port;
+
+/**
+ * struct Flow - one caller's address on one service's port
+ */
+typedef struct
+{
+  struct sockaddr_in caller;
+  uint16_t port;
+} Flow;
+
+struct Fabric
+{
+  Standin *standin;
+  Port ports[SERVICES_MAX];
+  unsigned port_count;
+  struct in_addr balancers[BALANCERS_MAX];
+  unsigned balancer_count;
+  Flow *flows;
+  unsigned flow_count;
+  uint32_t *slots;
+  Link up;
+  Link down;
+  uint64_t unknown_answers;
+};
+
+static uint32_t
+flow_slot (const Flow *flow)
+{
+  uint64_t mixed = ((uint64_t)flow->caller.sin_addr.s_addr << 32) ^
+                   ((uint64_t)flow->caller.sin_port << 16) ^ flow->port;
+  mixed *= 0x9e3779b97f4a7c15u;
+  return (uint32_t)(mixed >> 43) % FLOW_SLOTS;
+}
+
+static unsigned
+find_flow (Fabric *fabric, const Flow *wanted)
+{
+  uint32_t slot = flow_slot (wanted);
+  for (; fabric->slots[slot] != 0; slot = (slot + 1) % FLOW_SLOTS)
+    {
+      const Flow *flow = &fabric->flows[fabric->slots[slot] - 1];
+      if (flow->port == wanted->port && flow->caller.sin_port == wanted->caller.sin_port &&
+          flow->caller.sin_addr.s_addr == wanted->caller.sin_addr.s_addr)
+        return fabric->slots[slot] - 1;
+    }
+  if (fabric->flow_count == FLOWS_MAX)
+    standin_fail ("flows", "end the run earlier or use fewer callers");
+  fabric->flows[fabric->flow_count] = *wanted;
+  fabric->slots[slot] = ++fabric->flow_count;
+  return fabric->flow_count - 1;
+}
+
+static void
+on_caller (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
+{
+  (void)ev;
+  (void)event;
+  (void)flags;
+  Port *port = data;
+  Fabric *fabric = port->fabric;
+  uint8_t bytes[KQ_DATAGRAM_BYTES];
+  Flow flow = { .port = port->number };
+  ssize_t size;
+  for (int i = 0; i < BATCH && (size = net_receive (port->caller_fd, bytes, sizeof bytes,
+                                                    &flow.caller, NULL)) >= 0;
+       i++)
+    {
+      struct in_addr source = { htonl (FIRST_SOURCE + find_flow (fabric, &flow)) };
+      if (fabric->balancer_count == 0)
+        continue;
+      uint64_t drawn = kq_random_below (&fabric->standin->random, fabric->balancer_count);
+      struct sockaddr_in to = { .sin_family = AF_INET,
+                                .sin_port = htons (port->number),
+                                .sin_addr = fabric->balancers[drawn] };
+      link_send (&fabric->up, port->balancer_fd, bytes, (size_t)size, &to, &source);
+    }
+}
+
+static void
+on_balancer (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
+{
+  (void)ev;
+  (void)event;
+  (void)flags;
+  Port *port = data;
+  Fabric *fabric = port->fabric;
+  uint8_t bytes[KQ_DATAGRAM_BYTES];
+  struct sockaddr_in from;
+  struct in_addr to;
+  ssize_t size;
+  for (int i = 0;
+       i < BATCH && (size = net_receive (port->balancer_fd, bytes, sizeof bytes, &from, &to)) >= 0;
+       i++)
+    {
+      uint32_t index = ntohl (to.s_addr) - FIRST_SOURCE;
+      if (index >= fabric->flow_count || fabric->flows[index].port != port->number)
+        {
+          fabric->unknown_answers++;
+          continue;
+        }
+      link_send (&fabric->down, port->caller_fd, bytes, (size_t)size, &fabric->flows[index].caller,
+                 NULL);
+    }
+}
+
+static void
+add_port (Fabric *fabric, const char *ip, long number)
+{
+  if (fabric->port_count == SERVICES_MAX || number <= 0 || number > UINT16_MAX)
+    standin_fail ("service", "give at most 16 ports from 1 to 65535");
+  Port *port = &fabric->ports[fabric->port_count++];
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)number),
+                                 .sin_addr = net_ip (ip) };
+  struct sockaddr_in any = net_any (0);
+  port->fabric = fabric;
+  port->number = (uint16_t)number;
+  port->caller_fd = net_udp_socket (&address);
+  port->balancer_fd = net_udp_socket (&any);
+  tevent_add_fd (fabric->standin->ev, fabric, port->caller_fd, TEVENT_FD_READ, on_caller, port);
+  tevent_add_fd (fabric->standin->ev, fabric, port->balancer_fd, TEVENT_FD_READ, on_balancer, port);
+}
+
+static void
+add_balancer (Fabric *fabric, const char *text)
+{
+  if (fabric->balancer_count == BALANCERS_MAX)
+    standin_fail ("balancer", "give at most 64 balancers");
+  fabric->balancers[fabric->balancer_count++] = net_ip (text);
+}
+
+static void
+remove_balancer (Fabric *fabric, const char *text)
+{
+  struct in_addr gone = net_ip (text);
+  unsigned kept = 0;
+  for (unsigned i = 0; i < fabric->balancer_count; i++)
+    if (fabric->balancers[i].s_addr != gone.s_addr)
+      fabric->balancers[kept++] = fabric->balancers[i];
+  fabric->balancer_count = kept;
+}
+
+/* "add IP", "remove IP", or a fault of both directions: "loss 0.01", see link_set(). */
+static void
+on_line (char *line, void *data)
+{
+  Fabric *fabric = data;
+  char *value = strchr (line, ' ');
+  if (value == NULL)
+    return;
+  *value++ = '\0';
+  if (strcmp (line, "add") == 0)
+    add_balancer (fabric, value);
+  else if (strcmp (line, "remove") == 0)
+    remove_balancer (fabric, value);
+  else if (!link_set (&fabric->up, line, strtod (value, NULL)) ||
+           !link_set (&fabric->down, line, strtod (value, NULL)))
+    standin_fail (line, "send add, remove, loss, duplicate, reorder, delay or cut");
+}
+
+int
+main (int argc, const char **argv)
+{
+  char *ip = "127.0.0.10";
+  char *summary = NULL;
+  int seed = 1;
+  int seconds = 120;
+  int control = 0;
+  double loss = 0;
+  double duplicate = 0;
+  double reorder = 0;
+  char *text = NULL;
+  struct poptOption options[] = {
+    { "ip", 0, POPT_ARG_STRING, &ip, 0, "address of the fabric towards callers", "IP" },
+    { "service", 0, POPT_ARG_STRING, &text, 's', "port of a service; repeat", "PORT" },
+    { "balancer", 0, POPT_ARG_STRING, &text, 'b', "address of a balancer; repeat", "IP" },
+    { "loss", 0, POPT_ARG_DOUBLE, &loss, 0, "probability of loss, each way", "P" },
+    { "duplicate", 0, POPT_ARG_DOUBLE, &duplicate, 0, "probability of repetition", "P" },
+    { "reorder", 0, POPT_ARG_DOUBLE, &reorder, 0, "probability of a delay up to 20 ms", "P" },
+    { "seed", 0, POPT_ARG_INT, &seed, 0, "seed of the faults", "N" },
+    { "seconds", 0, POPT_ARG_INT, &seconds, 0, "ends after so long", "S" },
+    { "control", 0, POPT_ARG_NONE, &control, 0, "read control lines from standard input", NULL },
+    { "summary", 0, POPT_ARG_STRING, &summary, 0, "file of the summary", "FILE" },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+  Fabric *fabric = talloc_zero (NULL, Fabric);
+  const char *services[SERVICES_MAX];
+  unsigned service_count = 0;
+  poptContext context = poptGetContext (NULL, argc, argv, options, 0);
+  int option;
+  while ((option = poptGetNextOpt (context)) > 0)
+    if (option == 'b')
+      add_balancer (fabric, text);
+    else if (service_count < SERVICES_MAX)
+      services[service_count++] = text;
+  if (option < -1)
+    standin_fail (poptBadOption (context, 0), poptStrerror (option));
+  fabric->standin = standin_new ((uint64_t)seed, seconds);
+  fabric->flows = talloc_zero_array (fabric, Flow, FLOWS_MAX);
+  fabric->slots = talloc_zero_array (fabric, uint32_t, FLOW_SLOTS);
+  fabric->up = (Link){ .standin = fabric->standin,
+                       .loss = loss,
+                       .duplicate = duplicate,
+                       .reorder = reorder,
+                       .reorder_us = 20 * KQ_MS };
+  fabric->down = fabric->up;
+  for (unsigned i = 0; i < service_count; i++)
+    add_port (fabric, ip, strtol (services[i], NULL, 10));
+  if (control)
+    standin_lines (fabric->standin, on_line, fabric);
+  standin_ready ("fabric");
+  standin_run (fabric->standin);
+  json_t *result = json_pack (
+      "{s:I,s:I,s:I,s:I,s:I,s:I}", "flows", (json_int_t)fabric->flow_count, "up_passed",
+      (json_int_t)fabric->up.passed, "up_lost", (json_int_t)fabric->up.lost, "down_passed",
+      (json_int_t)fabric->down.passed, "down_lost", (json_int_t)fabric->down.lost,
+      "unknown_answers", (json_int_t)fabric->unknown_answers);
+  int status = standin_summary (result, summary);
+  talloc_free (fabric->standin);
+  talloc_free (fabric);
+  poptFreeContext (context);
+  return status;
+}
