--- a/standins/fabric.c
+++ b/standins/fabric.c
@@ -194,15 +194,15 @@
 int
 main (int argc, const char **argv)
 {
-  char *ip = "127.0.0.10";
-  char *summary = NULL;
+  static char *ip = "127.0.0.10";
+  static char *summary = NULL;
   int seed = 1;
   int seconds = 120;
   int control = 0;
   double loss = 0;
   double duplicate = 0;
   double reorder = 0;
-  char *text = NULL;
+  static char *text = NULL;
   struct poptOption options[] = {
     { "ip", 0, POPT_ARG_STRING, &ip, 0, "address of the fabric towards callers", "IP" },
     { "service", 0, POPT_ARG_STRING, &text, 's', "port of a service; repeat", "PORT" },
@@ -217,13 +217,15 @@
     POPT_AUTOHELP POPT_TABLEEND
   };
   Fabric *fabric = talloc_zero (NULL, Fabric);
-  const char *services[SERVICES_MAX];
+  static char *services[SERVICES_MAX];
+  static char *firsts[BALANCERS_MAX];
   unsigned service_count = 0;
+  unsigned first_count = 0;
   poptContext context = poptGetContext (NULL, argc, argv, options, 0);
   int option;
   while ((option = poptGetNextOpt (context)) > 0)
-    if (option == 'b')
-      add_balancer (fabric, text);
+    if (option == 'b' && first_count < BALANCERS_MAX)
+      firsts[first_count++] = text;
     else if (service_count < SERVICES_MAX)
       services[service_count++] = text;
   if (option < -1)
@@ -237,6 +239,8 @@
                        .reorder = reorder,
                        .reorder_us = 20 * KQ_MS };
   fabric->down = fabric->up;
+  for (unsigned i = 0; i < first_count; i++)
+    add_balancer (fabric, firsts[i]);
   for (unsigned i = 0; i < service_count; i++)
     add_port (fabric, ip, strtol (services[i], NULL, 10));
   if (control)
--- /dev/null
+++ b/standins/lib/caller_feed.c
@@ -0,0 +1,62 @@
+/* A feed observes the board, renews the observation and expects notifications all the time. */
+#include "caller.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define RENEW_EVERY   (KQ_SECOND)
+#define SILENCE_LIMIT (4 * KQ_SECOND) /* 20 notifications */
+#define FEED_TOKEN    0xfeu
+
+static void
+renew (CallerFlow *flow, KqTime now)
+{
+  KqCoapMessage message = { .type = KQ_COAP_CON,
+                            .code = KQ_COAP_GET,
+                            .message_id = flow->next_id++,
+                            .token = { FEED_TOKEN, (uint8_t)(flow->index >> 8),
+                                       (uint8_t)flow->index, (uint8_t)flow->generation },
+                            .token_size = 4,
+                            .observe_present = true };
+  snprintf (message.path, sizeof message.path, "board");
+  snprintf (message.query, sizeof message.query, "s=%s&f=%s&n=%u&deadline=%d&class=feed",
+            flow->caller->service, flow->name, ++flow->request, flow->caller->deadline_ms);
+  flow->feed_renewed = now;
+  caller_flow_send (flow, &message);
+}
+
+void
+caller_feed_tick (CallerFlow *flow, KqTime now)
+{
+  if (flow->feed_seen == 0)
+    flow->feed_seen = now;
+  if (now - flow->feed_renewed >= RENEW_EVERY && !flow->caller->closing)
+    renew (flow, now);
+  if (flow->feeding && now - flow->feed_seen > SILENCE_LIMIT && !flow->broken)
+    {
+      flow->caller->counts.silent++;
+      caller_flow_break (flow, "feed-silent");
+    }
+}
+
+void
+caller_feed_message (CallerFlow *flow, const KqCoapMessage *message, KqTime now)
+{
+  ContentHead head;
+  if (message->code != KQ_COAP_CONTENT || !message->observe_present)
+    return;
+  if (message->token_size != 4 || message->token[0] != FEED_TOKEN ||
+      message->token[1] != (uint8_t)(flow->index >> 8) || message->token[2] != (uint8_t)flow->index)
+    {
+      flow->caller->counts.crossed++;
+      return;
+    }
+  if (message->token[3] != (uint8_t)flow->generation ||
+      !caller_flow_check_head (flow, message, &head))
+    return;
+  if (!flow->feeding)
+    flow->caller->counts.feeds++;
+  flow->feeding = true;
+  flow->feed_seen = now;
+  flow->caller->counts.notifications++;
+}
--- a/standins/lib/net.c
+++ b/standins/lib/net.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
+#include <unistd.h>
 
 #include "standin.h"
 
@@ -46,7 +47,7 @@
 }
 
 int
-net_udp_socket (const struct sockaddr_in *address)
+net_udp_try (const struct sockaddr_in *address)
 {
   int on = 1;
   int bytes = SOCKET_BUFFER_BYTES;
@@ -56,14 +57,22 @@
   setsockopt (fd, IPPROTO_IP, IP_PKTINFO, &on, sizeof on);
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
   setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
-  if (bind (fd, (const struct sockaddr *)address, sizeof *address) != 0)
-    {
-      char ip[INET_ADDRSTRLEN];
-      fprintf (stderr, "bind %s:%u\n", inet_ntop (AF_INET, &address->sin_addr, ip, sizeof ip),
-               ntohs (address->sin_port));
-      standin_fail ("bind", "choose an address of this machine that is free");
-    }
-  return fd;
+  if (bind (fd, (const struct sockaddr *)address, sizeof *address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+int
+net_udp_socket (const struct sockaddr_in *address)
+{
+  int fd = net_udp_try (address);
+  if (fd >= 0)
+    return fd;
+  char ip[INET_ADDRSTRLEN];
+  fprintf (stderr, "bind %s:%u\n", inet_ntop (AF_INET, &address->sin_addr, ip, sizeof ip),
+           ntohs (address->sin_port));
+  standin_fail ("bind", "choose an address of this machine that is free");
 }
 
 ssize_t
--- a/standins/lib/net.h
+++ b/standins/lib/net.h
@@ -31,3 +31,6 @@
 /** net_send - sends one datagram, from @source when it is not NULL; a full queue drops it */
 void net_send (int fd, const uint8_t *bytes, size_t size, const struct sockaddr_in *to,
                const struct in_addr *source);
+
+/** net_udp_try - as net_udp_socket(); Return: -1 when @address is taken */
+int net_udp_try (const struct sockaddr_in *address);
--- a/standins/proxy.c
+++ b/standins/proxy.c
@@ -245,8 +245,8 @@
 int
 main (int argc, const char **argv)
 {
-  char *rule = NULL;
-  char *summary = NULL;
+  static char *rule = NULL;
+  static char *summary = NULL;
   int seed = 1;
   int seconds = 120;
   struct poptOption options[] = {
@@ -258,7 +258,7 @@
     POPT_AUTOHELP POPT_TABLEEND
   };
   Proxy *proxy = talloc_zero (NULL, Proxy);
-  char *rules[RULES_MAX];
+  static char *rules[RULES_MAX];
   int kinds[RULES_MAX];
   unsigned count = 0;
   int option;
--- a/standins/relay.c
+++ b/standins/relay.c
@@ -97,9 +97,9 @@
 int
 main (int argc, const char **argv)
 {
-  char *listen = NULL;
-  char *upstream = NULL;
-  char *summary = NULL;
+  static char *listen = NULL;
+  static char *upstream = NULL;
+  static char *summary = NULL;
   int seconds = 120;
   struct poptOption options[] = {
     { "listen", 0, POPT_ARG_STRING, &listen, 0, "address towards callers", "IP:PORT" },
