Placement whole: choice under load, sync of new homes, and a network to test it in

The thin placement forwarded and admitted only. Now a busy home asks others for their load and has the chosen target confirm, and a new home pulls the flows of its buckets from every target before it places anything. Owners that push their flows were ruled out: they would have to keep who acknowledged what, while the home knows what it lacks and its cursor makes every page repeatable.

--- /dev/null
+++ b/bench/decisions_flows.c
@@ -0,0 +1,81 @@
+/* Flows across change: 20 changes of the membership in a row, three balancers, views that lag by up
+ * to 5 s. The target is no broken flow; the baselines must break some for the run to mean anything.
+ */
+
+#include <stdio.h>
+
+#include "change_run.h"
+
+#define SEEDS 5
+
+typedef struct
+{
+  const char *name;
+  KqFleetMode mode;
+  bool crashes;
+} Row;
+
+static KqChangeResult
+sum_of_seeds (const Row *row)
+{
+  KqChangeResult sum = { 0 };
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      KqChangeParams params = { .seed = seed,
+                                .mode = row->mode,
+                                .targets = 7,
+                                .flows = 600,
+                                .changes = 20,
+                                .change_every = 3 * KQ_SECOND,
+                                .lag_max = 5 * KQ_SECOND,
+                                .loss = 0.02,
+                                .duplicate = 0.02,
+                                .crashes = row->crashes };
+      KqChangeResult one = kq_change_run (&params);
+      sum.sent += one.sent;
+      sum.delivered += one.delivered;
+      sum.opened += one.opened;
+      sum.broken += one.broken;
+      sum.lost += one.lost;
+      sum.refused += one.refused;
+      sum.refused_open += one.refused_open;
+      sum.joined += one.joined;
+      sum.left += one.left;
+      sum.message_bytes += one.message_bytes;
+      sum.seconds += one.seconds;
+    }
+  return sum;
+}
+
+int
+main (void)
+{
+  static const Row rows[] = {
+    { "placement, planned changes", KQ_FLEET_PLACEMENT, false },
+    { "placement, crashes as well", KQ_FLEET_PLACEMENT, true },
+    { "baseline: balancers' tables alone", KQ_FLEET_TABLES, false },
+    { "baseline: one earlier owner", KQ_FLEET_PREVIOUS, false },
+  };
+  printf ("flows across change: 7 targets at the start, 600 open flows, 20 changes, 3 balancers,\n"
+          "views up to 5 s late, 2%% loss, 2%% duplicates; sums of seeds 1 to %d\n\n",
+          SEEDS);
+  printf ("%-34s %8s %7s %6s %8s %7s %6s %5s %10s\n", "", "sent", "opened", "broken", "lost by",
+          "refused", "of open", "left", "messages");
+  printf ("%-34s %8s %7s %6s %8s %7s %6s %5s %10s\n", "", "", "flows", "", "a crash", "", "flows",
+          "", "B/s a target");
+  uint64_t broken[4];
+  for (unsigned i = 0; i < 4; i++)
+    {
+      KqChangeResult r = sum_of_seeds (&rows[i]);
+      broken[i] = r.broken;
+      printf ("%-34s %8llu %7llu %6llu %8llu %7llu %6llu %5u %10.0f\n", rows[i].name,
+              (unsigned long long)r.sent, (unsigned long long)r.opened,
+              (unsigned long long)r.broken, (unsigned long long)r.lost,
+              (unsigned long long)r.refused, (unsigned long long)r.refused_open, r.left,
+              (double)r.message_bytes / r.seconds / 7);
+    }
+  bool met = broken[0] == 0 && broken[1] == 0 && broken[2] > 0 && broken[3] > 0;
+  printf ("\ntarget: no flow broken by planned change, baselines break some: %s\n",
+          met ? "met" : "missed");
+  return 0;
+}
--- a/include/kumquat/internal/flow_shard.h
+++ b/include/kumquat/internal/flow_shard.h
@@ -22,6 +22,11 @@
 bool kq_flow_shard_touch (KqFlowShard *shard, const KqFlowKey *key, uint64_t hash, KqTime now,
                           KqPeer *owner);
 
+/** kq_flow_shard_idle - Return: time since the last use of @key to the millisecond; -1 if unknown
+ */
+KqTime kq_flow_shard_idle (const KqFlowShard *shard, const KqFlowKey *key, uint64_t hash,
+                           KqTime now);
+
 /** kq_flow_shard_store - adds @key or replaces its owner; Return: 0, or -1 when there is no room */
 int kq_flow_shard_store (KqFlowShard *shard, const KqFlowKey *key, uint64_t hash,
                          const KqPeer *owner, KqTime now);
--- /dev/null
+++ b/include/kumquat/internal/placement_state.h
@@ -0,0 +1,252 @@
+/* The state of one agent's placement, shared by the files that implement it.
+ *
+ * Safety rests on two rules. An agent places new flows of a bucket only while the bucket is synced:
+ * every target it knows, and every target those know, has answered its sync request. Whoever
+ * answers a sync request is fenced: it is no longer synced itself and takes flows of the bucket
+ * only from the requester. So two agents that reach each other are never synced for one bucket at
+ * once, whatever their views say, and views only decide who asks. */
+#pragma once
+
+#include <sys/queue.h>
+
+#include "kumquat/internal/flow_shard.h"
+#include "kumquat/internal/placement_message.h"
+#include "kumquat/random.h"
+
+#define KQ_OFFERS_MAX   8
+#define KQ_DEPARTED_MAX 64
+#define KQ_RESERVED_MAX 64
+#define KQ_HANDLED_MAX  256
+
+/**
+ * struct KqTarget - a target of the service that this agent knows
+ * @peer: its agent
+ * @since: when this life of it appeared
+ * @in_service: takes new flows
+ */
+typedef struct
+{
+  KqPeer peer;
+  KqTime since;
+  bool in_service;
+} KqTarget;
+
+/**
+ * struct KqBucket - what this agent knows about one bucket
+ * @home: first candidate in this agent's view; id 0 when there is none
+ * @claimed: the home of this agent's view says that this agent is the home
+ * @synced: this agent may place flows of the bucket
+ * @in_round: the current sync round asks for the bucket
+ * @overflow: the directory had no room for a flow of the bucket
+ * @blocked_until: new flows are refused until then, because of an overflow
+ * @fence: the agent that last asked for the bucket
+ * @fence_round: number of its round
+ * @fence_fresh: the fence is later than the last change of @home
+ * @reclaim_at: before this time a fenced home leaves the bucket to @fence
+ */
+typedef struct
+{
+  KqPeer home;
+  bool claimed;
+  bool synced;
+  bool in_round;
+  bool overflow;
+  KqTime blocked_until;
+  KqPeer fence;
+  uint64_t fence_round;
+  bool fence_fresh;
+  KqTime reclaim_at;
+} KqBucket;
+
+/**
+ * struct KqWaiting - a copied datagram of a flow that is not placed yet
+ */
+typedef struct KqWaiting
+{
+  TAILQ_ENTRY (KqWaiting) link;
+  KqPacket packet;
+  uint8_t payload[];
+} KqWaiting;
+
+/**
+ * enum KqPendingState - what a flow waits for
+ * @KQ_WAIT_SYNC: for the sync of its bucket
+ * @KQ_WAIT_LOADS: for the load of other targets
+ * @KQ_WAIT_PLACED: for the chosen target's answer
+ * @KQ_HANDED_OVER: for nothing: the bucket went to another home while the chosen target had not
+ *   answered; kept so that the new home learns of it
+ */
+typedef enum
+{
+  KQ_WAIT_SYNC,
+  KQ_WAIT_LOADS,
+  KQ_WAIT_PLACED,
+  KQ_HANDED_OVER
+} KqPendingState;
+
+/**
+ * struct KqOffer - another target that was asked for its load
+ */
+typedef struct
+{
+  KqPeer peer;
+  unsigned load;
+  bool answered;
+  bool declined;
+} KqOffer;
+
+/**
+ * struct KqPending - a flow that is being placed
+ */
+typedef struct KqPending
+{
+  TAILQ_ENTRY (KqPending) link;
+  TAILQ_HEAD (, KqWaiting) waiting;
+  unsigned waiting_count;
+  KqFlowKey key;
+  uint64_t hash;
+  unsigned bucket;
+  KqPendingState state;
+  uint64_t number;
+  KqTime expires_at;
+  KqTime retry_at;
+  unsigned tries;
+  unsigned refusals;
+  KqOffer offers[KQ_OFFERS_MAX];
+  unsigned offer_count;
+  KqPeer chosen;
+  unsigned limit;
+} KqPending;
+
+/**
+ * struct KqSyncPeer - progress of the sync with one target
+ */
+typedef struct
+{
+  KqPeer peer;
+  uint64_t cursor;
+  bool done;
+  KqTime retry_at;
+  unsigned tries;
+} KqSyncPeer;
+
+/**
+ * struct KqSyncRound - the current request for the flows of newly homed buckets
+ */
+typedef struct
+{
+  bool active;
+  uint64_t number;
+  KqTime started_at;
+  uint8_t buckets[KQ_BUCKET_SET_BYTES];
+  KqSyncPeer *peers;
+  unsigned peer_count;
+} KqSyncRound;
+
+/**
+ * struct KqReservation - a flow that another home placed here and that has sent nothing yet
+ */
+typedef struct
+{
+  uint64_t hash;
+  KqTime until;
+} KqReservation;
+
+/**
+ * struct KqHandled - a place request that was answered; a copy of it gets the same answer
+ * @tag: hash of the sender's life and the request's number
+ * @reason: the answer, KQ_ERROR_NONE when the flow was taken
+ */
+typedef struct
+{
+  uint64_t tag;
+  KqErrorKind reason;
+} KqHandled;
+
+/**
+ * struct KqPlacement - one agent's placement
+ * @flows: flows that this target holds
+ * @directory: flows of this agent's buckets that other targets hold
+ * @digest: of the targets known
+ * @departed: lives that left the view, the last KQ_DEPARTED_MAX of them
+ * @last_number: of requests sent; never used twice in one life
+ */
+struct KqPlacement
+{
+  KqPlacementParams params;
+  KqPlacementOps ops;
+  void *data;
+  KqRandom random;
+  bool draining;
+  bool has_view;
+  uint32_t service;
+  KqRouting *routing;
+  KqTarget *targets;
+  unsigned target_count;
+  uint64_t digest;
+  KqPeer departed[KQ_DEPARTED_MAX];
+  unsigned departed_count;
+  KqBucket buckets[KQ_BUCKETS];
+  KqFlowShard *flows;
+  KqFlowShard *directory;
+  unsigned check_cursor;
+  TAILQ_HEAD (, KqPending) pending;
+  unsigned pending_count;
+  size_t waiting_bytes;
+  uint64_t last_number;
+  KqSyncRound round;
+  KqReservation reserved[KQ_RESERVED_MAX];
+  KqHandled handled[KQ_HANDLED_MAX];
+  unsigned handled_next;
+  KqPlacementStats stats;
+};
+
+/* placement.c */
+void kq_placement_send (KqPlacement *placement, const KqPeer *to, KqPlacementMessage *message);
+void kq_placement_refuse (KqPlacement *placement, const KqPacket *packet, KqErrorKind reason);
+void kq_placement_forward (KqPlacement *placement, const KqPeer *to, const KqPeer *home,
+                           const KqPacket *packet);
+int kq_placement_admit (KqPlacement *placement, const KqFlowKey *key, uint64_t hash, KqTime now);
+bool kq_placement_is_home (const KqPlacement *placement, unsigned bucket);
+
+/* placement_view.c */
+const KqTarget *kq_placement_target (const KqPlacement *placement, uint64_t id);
+bool kq_placement_is_gone (const KqPlacement *placement, const KqPeer *peer);
+
+/* placement_pending.c */
+KqPending *kq_pending_find (KqPlacement *placement, const KqFlowKey *key);
+KqPending *kq_pending_by_number (KqPlacement *placement, uint64_t number);
+KqPending *kq_pending_new (KqPlacement *placement, const KqPacket *packet, uint64_t hash,
+                           KqTime now);
+void kq_pending_add (KqPlacement *placement, KqPending *pending, const KqPacket *packet);
+void kq_pending_deliver (KqPlacement *placement, KqPending *pending);
+void kq_pending_forward (KqPlacement *placement, KqPending *pending, const KqPeer *to,
+                         const KqPeer *home);
+void kq_pending_refuse (KqPlacement *placement, KqPending *pending, KqErrorKind reason);
+void kq_pending_hand_over (KqPlacement *placement, unsigned bucket, const KqPeer *home, KqTime now);
+void kq_pending_tick (KqPlacement *placement, KqTime now);
+
+/* placement_choice.c */
+unsigned kq_choice_load (KqPlacement *placement, KqTime now);
+void kq_choice_start (KqPlacement *placement, KqPending *pending, KqTime now);
+void kq_choice_place_again (KqPlacement *placement, KqPending *pending, const KqPeer *owner,
+                            KqTime now);
+void kq_choice_retry (KqPlacement *placement, KqPending *pending, KqTime now);
+void kq_choice_arrived (KqPlacement *placement, uint64_t hash);
+void kq_choice_message (KqPlacement *placement, const KqPeer *from,
+                        const KqPlacementMessage *message, KqTime now);
+
+/* placement_sync.c */
+void kq_sync_start (KqPlacement *placement, KqTime now);
+void kq_sync_view_changed (KqPlacement *placement, KqTime now);
+void kq_sync_message (KqPlacement *placement, const KqPeer *from, const KqPlacementMessage *message,
+                      KqTime now);
+void kq_sync_tick (KqPlacement *placement, KqTime now);
+
+/* placement_directory.c */
+void kq_directory_drop_gone (KqPlacement *placement, KqTime now);
+void kq_directory_drop_buckets (KqPlacement *placement, const uint8_t buckets[KQ_BUCKET_SET_BYTES],
+                                KqTime now);
+void kq_directory_tick (KqPlacement *placement, KqTime now);
+void kq_directory_message (KqPlacement *placement, const KqPeer *from,
+                           const KqPlacementMessage *message, KqTime now);
--- a/include/kumquat/placement.h
+++ b/include/kumquat/placement.h
@@ -37,6 +37,8 @@
  * @idle_us: a flow without a datagram for so long is closed
  * @admit_load: a new flow stays here without asking others while the load is below this
  * @seed: seed of the generator
+ * @load_step: what one more request adds to the load (1000 / slots); 0 when not known
+ * @ask_max: targets asked for their load before a placement, 1 to 8; 0 means 7
  */
 typedef struct
 {
@@ -46,10 +48,28 @@
   KqTime idle_us;
   unsigned admit_load;
   uint64_t seed;
+  unsigned load_step;
+  unsigned ask_max;
 } KqPlacementParams;
 
 /**
  * struct KqPlacementStats - counters and gauges for metrics and reports
+ * @flows_open: flows that the target holds
+ * @flows_admitted: flows taken here since the start
+ * @flows_refused: datagrams refused
+ * @flows_expired: flows closed because they were idle
+ * @flows_placed_elsewhere: flows of this agent's buckets that another target took
+ * @directory_entries: flows of other targets that this agent knows
+ * @forwarded: datagrams passed on
+ * @messages_sent: placement messages sent
+ * @messages_bad: placement messages that were malformed or of another service or life
+ * @buckets_home: buckets whose home is this agent in its view
+ * @buckets_syncing: those of them that it may not place flows of yet
+ * @flows_lost: flows known here whose target died
+ * @owner_conflicts: flows that two targets said they hold
+ * @datagrams_waiting: datagrams kept until their flow is placed
+ * @sync_rounds: times that the other targets were asked for their flows
+ * @queries: flows for which other targets were asked for their load
  */
 typedef struct
 {
@@ -64,6 +84,11 @@
   uint64_t messages_bad;
   uint64_t buckets_home;
   uint64_t buckets_syncing;
+  uint64_t flows_lost;
+  uint64_t owner_conflicts;
+  uint64_t datagrams_waiting;
+  uint64_t sync_rounds;
+  uint64_t queries;
 } KqPlacementStats;
 
 /** kq_placement_new - Return: (owned by @parent) a placement that holds no flow, or NULL */
@@ -84,6 +109,14 @@
 int kq_placement_message (KqPlacement *placement, const KqPeer *from, const uint8_t *bytes,
                           size_t size, KqTime now, KqError *error);
 
+/**
+ * kq_placement_next_tick - tells when kq_placement_tick has something to do
+ *
+ * Return: the earliest time, or KQ_NEVER; idle flows need a tick at least ten times a second
+ * besides.
+ */
+KqTime kq_placement_next_tick (const KqPlacement *placement);
+
 /** kq_placement_tick - repeats what was not acknowledged, and closes idle flows */
 void kq_placement_tick (KqPlacement *placement, KqTime now);
 
--- a/include/kumquat/routing.h
+++ b/include/kumquat/routing.h
@@ -20,6 +20,9 @@
  */
 KqRouting *kq_routing_new (const void *parent, const KqServiceView *view);
 
+/** kq_routing_in_service - Return: whether @target of @view takes new flows */
+bool kq_routing_in_service (const KqServiceView *view, const KqMember *target);
+
 /** kq_routing_bucket - Return: the bucket of a flow hash, 0 to KQ_BUCKETS - 1 */
 unsigned kq_routing_bucket (uint64_t hash);
 
--- a/src/connection/flow_shard.c
+++ b/src/connection/flow_shard.c
@@ -305,6 +305,13 @@
   return ms < 0 ? 0 : ms * KQ_MS;
 }
 
+KqTime
+kq_flow_shard_idle (const KqFlowShard *shard, const KqFlowKey *key, uint64_t hash, KqTime now)
+{
+  const Slot *slot = find (shard, key, hash);
+  return slot == NULL ? -1 : idle_of (slot, now);
+}
+
 bool
 kq_flow_shard_next (const KqFlowShard *shard, unsigned *cursor, KqTime now, KqFlowEntry *entry)
 {
--- a/src/connection/placement.c
+++ b/src/connection/placement.c
@@ -1,24 +1,18 @@
+/* One agent's decisions about the flows of its service; docs/design/placement.md has the reasons.
+ *
+ * A datagram of a flow that is held here is delivered. One of a flow in the directory is forwarded
+ * to its owner. Any other flow is decided by the home of its bucket: a home whose bucket is synced
+ * places it, one that is syncing lets it wait, and everyone else forwards it to the home. The first
+ * candidate in a forwarded datagram is the home that the forwarder believes in, so an agent that is
+ * believed to be home by the agent that it takes for the home claims the bucket. */
+
 #include <string.h>
 #include <talloc.h>
 
-#include "kumquat/internal/flow_shard.h"
-#include "kumquat/placement.h"
-#include "kumquat/routing.h"
+#include "kumquat/internal/placement_state.h"
 
 #define SLOTS_PER_TICK 1024 /* flows looked at for idleness in one tick */
-
-struct KqPlacement
-{
-  KqPlacementParams params;
-  KqPlacementOps ops;
-  void *data;
-  bool draining;
-  bool has_view;
-  uint32_t service;
-  KqRouting *routing;
-  KqFlowShard *flows;
-  KqPlacementStats stats;
-};
+#define CALLER_SHARE   8    /* part of a half-full target that one caller's address may have */
 
 KqPlacement *
 kq_placement_new (const void *parent, const KqPlacementParams *params, const KqPlacementOps *ops,
@@ -30,97 +24,229 @@
   placement->params = *params;
   placement->ops = *ops;
   placement->data = data;
-  placement->flows = kq_flow_shard_new (placement, params->flows_max, 0);
-  if (placement->flows == NULL)
+  kq_random_seed (&placement->random, params->seed);
+  TAILQ_INIT (&placement->pending);
+  unsigned caller_max = 1 + params->flows_max / CALLER_SHARE;
+  placement->flows = kq_flow_shard_new (placement, params->flows_max, caller_max);
+  placement->directory = kq_flow_shard_new (placement, params->directory_max, 0);
+  if (placement->flows == NULL || placement->directory == NULL)
     TALLOC_FREE (placement);
   return placement;
 }
 
 void
-kq_placement_set_view (KqPlacement *placement, const KqServiceView *view, KqTime now)
+kq_placement_send (KqPlacement *placement, const KqPeer *to, KqPlacementMessage *message)
 {
-  (void)now;
-  KqRouting *routing = kq_routing_new (placement, view);
-  if (routing == NULL)
+  uint8_t bytes[KQ_MESSAGE_BYTES];
+  message->service = placement->service;
+  int size = kq_placement_message_encode (message, bytes, sizeof bytes);
+  if (size < 0)
     return;
-  talloc_free (placement->routing);
-  placement->routing = routing;
-  placement->service = view->service->number;
-  placement->has_view = true;
+  placement->stats.messages_sent++;
+  placement->ops.send (to, bytes, (size_t)size, placement->data);
 }
 
-static void
-refuse (KqPlacement *placement, const KqPacket *packet, KqErrorKind reason)
+void
+kq_placement_refuse (KqPlacement *placement, const KqPacket *packet, KqErrorKind reason)
 {
   placement->stats.flows_refused++;
   placement->ops.refuse (packet, reason, placement->data);
 }
 
-static void
-admit (KqPlacement *placement, const KqPacket *packet, uint64_t hash, KqTime now)
+void
+kq_placement_forward (KqPlacement *placement, const KqPeer *to, const KqPeer *home,
+                      const KqPacket *packet)
+{
+  if (packet->hops >= KQ_HOPS_MAX)
+    {
+      kq_placement_refuse (placement, packet, KQ_ERROR_UNAVAILABLE);
+      return;
+    }
+  KqPacket copy = *packet;
+  copy.from = placement->params.self;
+  copy.to = to->incarnation;
+  copy.candidates[0] = *home;
+  if (copy.candidate_count == 0)
+    copy.candidate_count = 1;
+  placement->stats.forwarded++;
+  placement->ops.forward (to, &copy, placement->data);
+}
+
+int
+kq_placement_admit (KqPlacement *placement, const KqFlowKey *key, uint64_t hash, KqTime now)
 {
   if (placement->draining)
+    return -1;
+  if (kq_flow_shard_store (placement->flows, key, hash, &placement->params.self, now) < 0)
+    return -1;
+  kq_flow_shard_remove (placement->directory, key, hash, NULL);
+  placement->stats.flows_admitted++;
+  return 0;
+}
+
+bool
+kq_placement_is_home (const KqPlacement *placement, unsigned bucket)
+{
+  const KqBucket *b = &placement->buckets[bucket];
+  return b->home.id == placement->params.self.id || b->claimed;
+}
+
+static void
+place (KqPlacement *placement, const KqPacket *packet, uint64_t hash, KqTime now)
+{
+  bool light = kq_choice_load (placement, now) < placement->params.admit_load;
+  if (light && kq_placement_admit (placement, &packet->key, hash, now) == 0)
     {
-      refuse (placement, packet, KQ_ERROR_UNAVAILABLE);
+      placement->ops.deliver (packet, placement->data);
       return;
     }
-  if (kq_flow_shard_store (placement->flows, &packet->key, hash, &placement->params.self, now) < 0)
+  KqPending *pending = kq_pending_new (placement, packet, hash, now);
+  if (pending != NULL)
+    kq_choice_start (placement, pending, now);
+}
+
+static void
+wait_for_sync (KqPlacement *placement, const KqPacket *packet, uint64_t hash, KqTime now)
+{
+  if (now < placement->buckets[kq_routing_bucket (hash)].blocked_until)
     {
-      refuse (placement, packet, KQ_ERROR_FULL);
+      kq_placement_refuse (placement, packet, KQ_ERROR_FULL);
       return;
     }
-  placement->stats.flows_admitted++;
-  placement->ops.deliver (packet, placement->data);
+  KqPending *pending = kq_pending_new (placement, packet, hash, now);
+  if (pending != NULL)
+    kq_sync_start (placement, now);
 }
 
-void
-kq_placement_packet (KqPlacement *placement, const KqPacket *packet, KqTime now)
+/* Decides on a flow that is neither held here nor in the directory. */
+static void
+unknown_flow (KqPlacement *placement, const KqPacket *packet, uint64_t hash, KqTime now)
 {
-  if (packet->to != 0 && packet->to != placement->params.self.incarnation)
+  const KqPeer *self = &placement->params.self;
+  unsigned bucket = kq_routing_bucket (hash);
+  KqBucket *b = &placement->buckets[bucket];
+  bool believed = packet->from.id != 0 && packet->from.id != self->id &&
+                  packet->candidate_count > 0 && packet->candidates[0].id == self->id;
+  if (b->home.id == 0 && !b->claimed)
+    {
+      kq_placement_refuse (placement, packet, KQ_ERROR_UNAVAILABLE);
+      return;
+    }
+  if (believed)
+    b->claimed = true;
+  bool defer = b->fence_fresh && !believed && !b->synced && now < b->reclaim_at;
+  if (!kq_placement_is_home (placement, bucket) || defer)
+    {
+      const KqPeer *home = b->fence_fresh ? &b->fence : &b->home;
+      kq_placement_forward (placement, home, home, packet);
+      return;
+    }
+  if (b->synced)
+    place (placement, packet, hash, now);
+  else
+    wait_for_sync (placement, packet, hash, now);
+}
+
+/* Forwards to the owner that the directory names. An owner that sends the flow back does not hold
+ * it; it is asked to take it again, since only its answer tells whether it holds the flow by then.
+ */
+static void
+known_flow (KqPlacement *placement, const KqPacket *packet, uint64_t hash, const KqPeer *owner,
+            KqTime now)
+{
+  unsigned bucket = kq_routing_bucket (hash);
+  bool sent_back = packet->from.id == owner->id;
+  bool new_life = sent_back && packet->from.incarnation != owner->incarnation;
+  if (!sent_back)
     {
-      refuse (placement, packet, KQ_ERROR_STALE);
+      const KqBucket *b = &placement->buckets[bucket];
+      bool home = kq_placement_is_home (placement, bucket);
+      const KqPeer *believed = home             ? &placement->params.self
+                               : b->fence_fresh ? &b->fence
+                                                : &b->home;
+      kq_placement_forward (placement, owner, believed, packet);
       return;
     }
-  if (placement->has_view && packet->key.service != placement->service)
+  if (new_life || !placement->buckets[bucket].synced)
     {
-      refuse (placement, packet, KQ_ERROR_WRONG_SERVICE);
+      kq_flow_shard_remove (placement->directory, &packet->key, hash, owner);
+      unknown_flow (placement, packet, hash, now);
+      return;
+    }
+  KqPending *pending = kq_pending_new (placement, packet, hash, now);
+  if (pending != NULL)
+    kq_choice_place_again (placement, pending, owner, now);
+}
+
+static KqErrorKind
+check_packet (const KqPlacement *placement, const KqPacket *packet)
+{
+  if (!placement->has_view)
+    return KQ_ERROR_UNAVAILABLE;
+  if (packet->key.service != placement->service)
+    return KQ_ERROR_WRONG_SERVICE;
+  if (packet->to != 0 && packet->to != placement->params.self.incarnation)
+    return KQ_ERROR_STALE;
+  return KQ_ERROR_NONE;
+}
+
+void
+kq_placement_packet (KqPlacement *placement, const KqPacket *packet, KqTime now)
+{
+  KqErrorKind reason = check_packet (placement, packet);
+  if (reason != KQ_ERROR_NONE)
+    {
+      kq_placement_refuse (placement, packet, reason);
       return;
     }
   uint64_t hash = kq_flow_key_hash (&packet->key);
   if (kq_flow_shard_touch (placement->flows, &packet->key, hash, now, NULL))
     {
+      kq_choice_arrived (placement, hash);
       placement->ops.deliver (packet, placement->data);
       return;
     }
-  KqPeer candidates[KQ_CANDIDATES_MAX];
-  unsigned count =
-      placement->routing == NULL
-          ? 0
-          : kq_routing_candidates (placement->routing, kq_routing_bucket (hash), candidates);
-  if (count == 0)
-    refuse (placement, packet, KQ_ERROR_UNAVAILABLE);
-  else if (candidates[0].id == placement->params.self.id)
-    admit (placement, packet, hash, now);
-  else if (packet->hops >= KQ_HOPS_MAX)
-    refuse (placement, packet, KQ_ERROR_UNAVAILABLE);
+  KqPending *pending = kq_pending_find (placement, &packet->key);
+  KqPeer owner;
+  if (pending != NULL)
+    kq_pending_add (placement, pending, packet);
+  else if (kq_flow_shard_touch (placement->directory, &packet->key, hash, now, &owner))
+    known_flow (placement, packet, hash, &owner, now);
   else
-    {
-      placement->stats.forwarded++;
-      placement->ops.forward (&candidates[0], packet, placement->data);
-    }
+    unknown_flow (placement, packet, hash, now);
 }
 
 int
 kq_placement_message (KqPlacement *placement, const KqPeer *from, const uint8_t *bytes, size_t size,
                       KqTime now, KqError *error)
 {
-  (void)from;
-  (void)bytes;
-  (void)size;
-  (void)now;
+  KqPlacementMessage message;
+  if (kq_placement_message_decode (bytes, size, &message, error) < 0)
+    goto error;
+  if (!placement->has_view || message.service != placement->service)
+    {
+      kq_error_set (error, KQ_ERROR_WRONG_SERVICE,
+                    "placement message for service %u; wait until the sender's view is current",
+                    message.service);
+      goto error;
+    }
+  if (from->id == placement->params.self.id || kq_placement_is_gone (placement, from))
+    {
+      kq_error_set (error, KQ_ERROR_STALE,
+                    "placement message of a life that has ended; the sender must restart");
+      goto error;
+    }
+  if (message.type == KQ_MESSAGE_SYNC_REQUEST || message.type == KQ_MESSAGE_SYNC_ANSWER)
+    kq_sync_message (placement, from, &message, now);
+  else if (message.type == KQ_MESSAGE_CHECK || message.type == KQ_MESSAGE_NOT_HELD)
+    kq_directory_message (placement, from, &message, now);
+  else
+    kq_choice_message (placement, from, &message, now);
+  return 0;
+
+error:
   placement->stats.messages_bad++;
-  return kq_error_set (error, KQ_ERROR_INVALID,
-                       "unknown placement message; run the same release on every instance");
+  return -1;
 }
 
 static void
@@ -134,10 +260,29 @@
 void
 kq_placement_tick (KqPlacement *placement, KqTime now)
 {
+  kq_pending_tick (placement, now);
+  kq_sync_tick (placement, now);
+  kq_directory_tick (placement, now);
   kq_flow_shard_expire (placement->flows, now, placement->params.idle_us, SLOTS_PER_TICK,
                         flow_expired, placement);
 }
 
+KqTime
+kq_placement_next_tick (const KqPlacement *placement)
+{
+  KqTime next = KQ_NEVER;
+  const KqPending *pending;
+  TAILQ_FOREACH (pending, &placement->pending, link)
+  next = pending->retry_at < next ? pending->retry_at : next;
+  for (unsigned i = 0; placement->round.active && i < placement->round.peer_count; i++)
+    {
+      const KqSyncPeer *peer = &placement->round.peers[i];
+      if (!peer->done && peer->retry_at < next)
+        next = peer->retry_at;
+    }
+  return next;
+}
+
 void
 kq_placement_touch (KqPlacement *placement, const KqFlowKey *key, KqTime now)
 {
@@ -164,5 +309,15 @@
 {
   KqPlacementStats stats = placement->stats;
   stats.flows_open = kq_flow_shard_count (placement->flows);
+  stats.directory_entries = kq_flow_shard_count (placement->directory);
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    if (placement->buckets[i].home.id == placement->params.self.id)
+      {
+        stats.buckets_home++;
+        stats.buckets_syncing += !placement->buckets[i].synced;
+      }
+  const KqPending *pending;
+  TAILQ_FOREACH (pending, &placement->pending, link)
+  stats.datagrams_waiting += pending->waiting_count;
   return stats;
 }
--- /dev/null
+++ b/src/connection/placement_sync.c
@@ -0,0 +1,421 @@
+/* How a new home learns the flows of its buckets.
+ *
+ * The home asks every target it knows for the flows of all buckets that it newly homes, in pages in
+ * the order of the flows' hashes; the cursor makes each page repeatable, so a lost page is asked
+ * for again and nothing is kept at the side that answers. The home drives all repeats: an owner
+ * that pushed its flows would have to remember who acknowledged what. Whoever answers is fenced
+ * first, so a page cannot miss a flow that is placed later by someone else. */
+
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "kumquat/internal/placement_state.h"
+
+#define REQUEST_TIMEOUT (20 * KQ_MS)
+#define BACKOFF_MAX     6               /* doublings of the timeout at most, 1.28 s */
+#define RECLAIM_DELAY   (5 * KQ_SECOND) /* as long as views lag; then the fenced home asks again */
+#define RESTART_DELAY   (200 * KQ_MS)   /* a round gets so long before more buckets restart it */
+#define OVERFLOW_DELAY  KQ_SECOND
+
+static void
+send_request (KqPlacement *placement, KqSyncPeer *peer, KqTime now)
+{
+  KqPlacementMessage request = { .type = KQ_MESSAGE_SYNC_REQUEST,
+                                 .number = placement->round.number,
+                                 .cursor = peer->cursor,
+                                 .digest = placement->digest };
+  unsigned doublings = peer->tries < BACKOFF_MAX ? peer->tries : BACKOFF_MAX;
+  KqTime timeout = REQUEST_TIMEOUT << doublings;
+  peer->tries++;
+  peer->retry_at = now + timeout + (KqTime)kq_random_below (&placement->random, (uint64_t)timeout);
+  memcpy (request.buckets, placement->round.buckets, sizeof request.buckets);
+  kq_placement_send (placement, &peer->peer, &request);
+}
+
+static KqSyncPeer *
+find_peer (const KqSyncRound *round, uint64_t id)
+{
+  for (unsigned i = 0; i < round->peer_count; i++)
+    if (round->peers[i].peer.id == id)
+      return &round->peers[i];
+  return NULL;
+}
+
+/* Asks @peer in this round, unless it is asked already; another life of it is asked anew. */
+static int
+add_peer (KqPlacement *placement, const KqPeer *peer, KqTime now)
+{
+  KqSyncRound *round = &placement->round;
+  if (peer->id == placement->params.self.id || kq_placement_is_gone (placement, peer))
+    return 0;
+  KqSyncPeer *found = find_peer (round, peer->id);
+  if (found != NULL && found->peer.incarnation >= peer->incarnation)
+    return 0;
+  if (found == NULL)
+    {
+      KqSyncPeer *peers =
+          talloc_realloc (placement, round->peers, KqSyncPeer, round->peer_count + 1);
+      if (peers == NULL)
+        return -1;
+      round->peers = peers;
+      found = &peers[round->peer_count++];
+    }
+  *found = (KqSyncPeer){ .peer = *peer };
+  send_request (placement, found, now);
+  return 0;
+}
+
+static bool
+needs_sync (const KqPlacement *placement, unsigned bucket, KqTime now)
+{
+  const KqBucket *b = &placement->buckets[bucket];
+  if (b->synced || !kq_placement_is_home (placement, bucket) || now < b->blocked_until)
+    return false;
+  return b->claimed || !b->fence_fresh || now >= b->reclaim_at;
+}
+
+static bool
+wants_more (const KqPlacement *placement, KqTime now)
+{
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    if (needs_sync (placement, i, now) && !placement->buckets[i].in_round)
+      return true;
+  return false;
+}
+
+/* Decides on the flows that waited for their bucket. */
+static void
+release_waiting (KqPlacement *placement, KqTime now)
+{
+  KqPending *pending = TAILQ_FIRST (&placement->pending);
+  while (pending != NULL)
+    {
+      KqPending *next = TAILQ_NEXT (pending, link);
+      const KqBucket *b = &placement->buckets[pending->bucket];
+      KqPeer owner;
+      if (pending->state == KQ_WAIT_SYNC && b->blocked_until > now)
+        kq_pending_refuse (placement, pending, KQ_ERROR_FULL);
+      else if (pending->state == KQ_WAIT_SYNC && b->synced)
+        {
+          if (kq_flow_shard_touch (placement->directory, &pending->key, pending->hash, now, &owner))
+            kq_pending_forward (placement, pending, &owner, &placement->params.self);
+          else if (kq_choice_load (placement, now) < placement->params.admit_load &&
+                   kq_placement_admit (placement, &pending->key, pending->hash, now) == 0)
+            kq_pending_deliver (placement, pending);
+          else
+            kq_choice_start (placement, pending, now);
+        }
+      pending = next;
+    }
+}
+
+static void
+finish_if_done (KqPlacement *placement, KqTime now)
+{
+  KqSyncRound *round = &placement->round;
+  for (unsigned i = 0; i < round->peer_count; i++)
+    if (!round->peers[i].done)
+      return;
+  round->active = false;
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    {
+      KqBucket *b = &placement->buckets[i];
+      if (!b->in_round)
+        continue;
+      b->in_round = false;
+      b->synced = !b->overflow;
+      if (b->overflow)
+        b->blocked_until = now + OVERFLOW_DELAY;
+    }
+  release_waiting (placement, now);
+  kq_sync_start (placement, now);
+}
+
+/* Begins a round with every bucket that needs one; those of the round before are in it again. */
+static void
+begin_round (KqPlacement *placement, KqTime now)
+{
+  KqSyncRound *round = &placement->round;
+  uint8_t fresh[KQ_BUCKET_SET_BYTES] = { 0 };
+  memset (round->buckets, 0, sizeof round->buckets);
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    {
+      KqBucket *b = &placement->buckets[i];
+      if (!b->in_round && !needs_sync (placement, i, now))
+        continue;
+      kq_bucket_set_add (round->buckets, i);
+      if (!b->in_round)
+        kq_bucket_set_add (fresh, i);
+      b->in_round = true;
+      b->overflow = false;
+    }
+  kq_directory_drop_buckets (placement, fresh, now);
+  placement->stats.sync_rounds++;
+  round->active = true;
+  round->number = ++placement->last_number;
+  round->started_at = now;
+  TALLOC_FREE (round->peers);
+  round->peer_count = 0;
+  for (unsigned i = 0; i < placement->target_count; i++)
+    if (add_peer (placement, &placement->targets[i].peer, now) < 0)
+      return;
+}
+
+void
+kq_sync_start (KqPlacement *placement, KqTime now)
+{
+  const KqSyncRound *round = &placement->round;
+  if (!wants_more (placement, now) || (round->active && now - round->started_at < RESTART_DELAY))
+    return;
+  begin_round (placement, now);
+  finish_if_done (placement, now);
+}
+
+static void
+drop_gone_peers (KqPlacement *placement)
+{
+  KqSyncRound *round = &placement->round;
+  for (unsigned i = 0; i < round->peer_count;)
+    if (kq_placement_is_gone (placement, &round->peers[i].peer))
+      round->peers[i] = round->peers[--round->peer_count];
+    else
+      i++;
+}
+
+void
+kq_sync_view_changed (KqPlacement *placement, KqTime now)
+{
+  if (placement->round.active)
+    {
+      drop_gone_peers (placement);
+      for (unsigned i = 0; i < placement->target_count; i++)
+        if (add_peer (placement, &placement->targets[i].peer, now) < 0)
+          return;
+      finish_if_done (placement, now);
+    }
+  kq_sync_start (placement, now);
+}
+
+void
+kq_sync_tick (KqPlacement *placement, KqTime now)
+{
+  KqSyncRound *round = &placement->round;
+  for (unsigned i = 0; round->active && i < round->peer_count; i++)
+    if (!round->peers[i].done && now >= round->peers[i].retry_at)
+      send_request (placement, &round->peers[i], now);
+  kq_sync_start (placement, now);
+}
+
+/* Gives the bucket to @from. A copy of the request that fenced it last changes nothing, so that it
+ * cannot undo a later round of this agent's. */
+static void
+fence (KqPlacement *placement, unsigned bucket, const KqPeer *from, uint64_t round, KqTime now)
+{
+  KqBucket *b = &placement->buckets[bucket];
+  bool same = b->fence.id == from->id && b->fence.incarnation == from->incarnation;
+  if (same && round <= b->fence_round)
+    return;
+  b->fence = *from;
+  b->fence_round = round;
+  b->fence_fresh = true;
+  b->reclaim_at = now + RECLAIM_DELAY;
+  b->synced = false;
+  b->in_round = false;
+  b->claimed = false;
+  kq_pending_hand_over (placement, bucket, from, now);
+}
+
+/* The flows with the least hashes above a cursor, in order. */
+typedef struct
+{
+  uint64_t hashes[KQ_MESSAGE_FLOWS_MAX];
+  KqMessageFlow flows[KQ_MESSAGE_FLOWS_MAX];
+  KqPeer owners[KQ_MESSAGE_FLOWS_MAX];
+  unsigned count;
+  bool more;
+} Page;
+
+static void
+page_add (Page *page, uint64_t hash, const KqAddress *caller, const KqPeer *owner)
+{
+  unsigned rank = page->count;
+  while (rank > 0 && hash < page->hashes[rank - 1])
+    rank--;
+  if (page->count == KQ_MESSAGE_FLOWS_MAX)
+    {
+      page->more = true;
+      if (rank == KQ_MESSAGE_FLOWS_MAX)
+        return;
+      page->count--;
+    }
+  for (unsigned i = page->count; i > rank; i--)
+    {
+      page->hashes[i] = page->hashes[i - 1];
+      page->flows[i] = page->flows[i - 1];
+      page->owners[i] = page->owners[i - 1];
+    }
+  page->hashes[rank] = hash;
+  page->flows[rank] = (KqMessageFlow){ .caller = *caller };
+  page->owners[rank] = *owner;
+  page->count++;
+}
+
+static void
+page_fill (const KqPlacement *placement, const KqPlacementMessage *request, Page *page)
+{
+  KqFlowEntry entry;
+  unsigned cursor = 0;
+  while (kq_flow_shard_next (placement->flows, &cursor, 0, &entry))
+    {
+      uint64_t hash = kq_flow_key_hash (&entry.key);
+      if (hash > request->cursor && kq_bucket_set_has (request->buckets, kq_routing_bucket (hash)))
+        page_add (page, hash, &entry.key.caller, &placement->params.self);
+    }
+  const KqPending *pending;
+  TAILQ_FOREACH (pending, &placement->pending, link)
+  {
+    bool chosen = pending->state == KQ_WAIT_PLACED || pending->state == KQ_HANDED_OVER;
+    if (chosen && pending->hash > request->cursor &&
+        kq_bucket_set_has (request->buckets, pending->bucket))
+      page_add (page, pending->hash, &pending->key.caller, &pending->chosen);
+  }
+}
+
+static unsigned
+message_peer (KqPlacementMessage *message, const KqPeer *peer)
+{
+  for (unsigned i = 0; i < message->peer_count; i++)
+    if (message->peers[i].id == peer->id)
+      return i + 1;
+  if (message->peer_count == KQ_MESSAGE_PEERS_MAX)
+    return 0;
+  message->peers[message->peer_count++] = *peer;
+  return message->peer_count;
+}
+
+/* Copies flows into the answer until one's owner finds no room; that one starts the next page. */
+static void
+put_page (const KqPlacement *placement, const Page *page, KqPlacementMessage *answer)
+{
+  for (unsigned i = 0; i < page->count; i++)
+    {
+      KqMessageFlow flow = page->flows[i];
+      bool own = page->owners[i].id == placement->params.self.id;
+      flow.owner = own ? 0 : message_peer (answer, &page->owners[i]);
+      if (!own && flow.owner == 0)
+        {
+          answer->next = page->hashes[i - 1];
+          return;
+        }
+      answer->flows[answer->flow_count++] = flow;
+    }
+  if (page->more)
+    answer->next = page->hashes[page->count - 1];
+}
+
+/* Names the newest targets to a requester whose view differs; it asks those that it does not know.
+ */
+static void
+put_new_targets (const KqPlacement *placement, KqPlacementMessage *answer)
+{
+  while (answer->peer_count < KQ_MESSAGE_PEERS_MAX)
+    {
+      const KqTarget *newest = NULL;
+      for (unsigned i = 0; i < placement->target_count; i++)
+        {
+          const KqTarget *target = &placement->targets[i];
+          bool put = target->peer.id == placement->params.self.id;
+          for (unsigned j = 0; j < answer->peer_count; j++)
+            put = put || answer->peers[j].id == target->peer.id;
+          if (!put && (newest == NULL || target->since > newest->since))
+            newest = target;
+        }
+      if (newest == NULL)
+        return;
+      answer->peers[answer->peer_count++] = newest->peer;
+    }
+}
+
+static void
+answer_request (KqPlacement *placement, const KqPeer *from, const KqPlacementMessage *request,
+                KqTime now)
+{
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    if (kq_bucket_set_has (request->buckets, i))
+      fence (placement, i, from, request->number, now);
+  Page page = { .count = 0 };
+  page_fill (placement, request, &page);
+  KqPlacementMessage answer = { .type = KQ_MESSAGE_SYNC_ANSWER,
+                                .number = request->number,
+                                .cursor = request->cursor,
+                                .digest = placement->digest };
+  put_page (placement, &page, &answer);
+  if (request->cursor == 0 && request->digest != placement->digest)
+    put_new_targets (placement, &answer);
+  kq_placement_send (placement, from, &answer);
+}
+
+/* An owner's own word replaces what others said of the flow. Two owners of one flow, which only two
+ * homes that could not reach each other can make, both keep it; the directory names the last to
+ * answer. */
+static void
+learn_flow (KqPlacement *placement, const KqFlowKey *key, const KqPeer *owner, bool own_word,
+            KqTime now)
+{
+  uint64_t hash = kq_flow_key_hash (key);
+  KqBucket *b = &placement->buckets[kq_routing_bucket (hash)];
+  KqPeer known;
+  if (!b->in_round || owner->id == placement->params.self.id ||
+      kq_placement_is_gone (placement, owner))
+    return;
+  if (kq_flow_shard_lookup (placement->flows, key, hash, NULL))
+    {
+      placement->stats.owner_conflicts++;
+      return;
+    }
+  if (kq_flow_shard_lookup (placement->directory, key, hash, &known))
+    {
+      placement->stats.owner_conflicts += known.id != owner->id;
+      if (!own_word)
+        return;
+    }
+  if (kq_flow_shard_store (placement->directory, key, hash, owner, now) < 0)
+    b->overflow = true;
+}
+
+static void
+take_answer (KqPlacement *placement, const KqPeer *from, const KqPlacementMessage *answer,
+             KqTime now)
+{
+  KqSyncPeer *peer = find_peer (&placement->round, from->id);
+  if (!placement->round.active || answer->number != placement->round.number || peer == NULL ||
+      peer->peer.incarnation != from->incarnation || peer->done || answer->cursor != peer->cursor)
+    return;
+  for (unsigned i = 0; i < answer->flow_count; i++)
+    {
+      const KqMessageFlow *flow = &answer->flows[i];
+      KqFlowKey key = { .service = placement->service, .caller = flow->caller };
+      const KqPeer *owner = flow->owner == 0 ? from : &answer->peers[flow->owner - 1];
+      learn_flow (placement, &key, owner, flow->owner == 0, now);
+    }
+  peer->tries = 0;
+  peer->cursor = answer->next;
+  peer->done = answer->next == 0;
+  if (!peer->done)
+    send_request (placement, peer, now);
+  for (unsigned i = 0; i < answer->peer_count; i++)
+    if (add_peer (placement, &answer->peers[i], now) < 0)
+      return;
+  finish_if_done (placement, now);
+}
+
+void
+kq_sync_message (KqPlacement *placement, const KqPeer *from, const KqPlacementMessage *message,
+                 KqTime now)
+{
+  if (message->type == KQ_MESSAGE_SYNC_REQUEST)
+    answer_request (placement, from, message, now);
+  else
+    take_answer (placement, from, message, now);
+}
--- /dev/null
+++ b/src/connection/placement_view.c
@@ -0,0 +1,112 @@
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "kumquat/internal/peer_table.h"
+#include "kumquat/internal/placement_state.h"
+
+const KqTarget *
+kq_placement_target (const KqPlacement *placement, uint64_t id)
+{
+  for (unsigned i = 0; i < placement->target_count; i++)
+    if (placement->targets[i].peer.id == id)
+      return &placement->targets[i];
+  return NULL;
+}
+
+/* Tells whether @peer is a life that this agent saw end: it was superseded, or it left the view. */
+bool
+kq_placement_is_gone (const KqPlacement *placement, const KqPeer *peer)
+{
+  const KqTarget *target = kq_placement_target (placement, peer->id);
+  if (target != NULL)
+    return peer->incarnation < target->peer.incarnation;
+  for (unsigned i = 0; i < placement->departed_count && i < KQ_DEPARTED_MAX; i++)
+    if (placement->departed[i].id == peer->id &&
+        placement->departed[i].incarnation >= peer->incarnation)
+      return true;
+  return false;
+}
+
+static void
+note_departed (KqPlacement *placement, const KqTarget *targets, unsigned count)
+{
+  if (targets == NULL)
+    return;
+  for (unsigned i = 0; i < count; i++)
+    {
+      const KqPeer *peer = &targets[i].peer;
+      if (kq_placement_target (placement, peer->id) == NULL)
+        placement->departed[placement->departed_count++ % KQ_DEPARTED_MAX] = *peer;
+    }
+}
+
+static const KqTarget *
+find_target (const KqTarget *targets, unsigned count, const KqPeer *peer)
+{
+  for (unsigned i = 0; i < count; i++)
+    if (kq_peer_equal (&targets[i].peer, peer))
+      return &targets[i];
+  return NULL;
+}
+
+static int
+set_targets (KqPlacement *placement, const KqServiceView *view, KqTime now)
+{
+  KqTarget *old = placement->targets;
+  unsigned old_count = placement->target_count;
+  KqTarget *targets = talloc_array (placement, KqTarget, view->count + 1);
+  if (targets == NULL)
+    return -1;
+  placement->digest = 0;
+  for (unsigned i = 0; i < view->count; i++)
+    {
+      const KqMember *member = &view->targets[i];
+      const KqTarget *known = find_target (old, old_count, &member->peer);
+      targets[i].peer = member->peer;
+      targets[i].since = known == NULL ? now : known->since;
+      targets[i].in_service = kq_routing_in_service (view, member);
+      placement->digest ^= XXH3_64bits (&member->peer.id, sizeof member->peer.id);
+    }
+  placement->targets = targets;
+  placement->target_count = view->count;
+  note_departed (placement, old, old_count);
+  talloc_free (old);
+  return 0;
+}
+
+static void
+set_homes (KqPlacement *placement)
+{
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    {
+      KqBucket *b = &placement->buckets[i];
+      KqPeer candidates[KQ_CANDIDATES_MAX] = { { 0 } };
+      kq_routing_candidates (placement->routing, i, candidates);
+      b->claimed = false;
+      if (!kq_peer_equal (&b->home, &candidates[0]) || kq_placement_is_gone (placement, &b->fence))
+        b->fence_fresh = false;
+      b->home = candidates[0];
+    }
+}
+
+void
+kq_placement_set_view (KqPlacement *placement, const KqServiceView *view, KqTime now)
+{
+  KqRouting *routing = kq_routing_new (placement, view);
+  if (routing == NULL || set_targets (placement, view, now) < 0)
+    {
+      talloc_free (routing);
+      return;
+    }
+  talloc_free (placement->routing);
+  placement->routing = routing;
+  placement->service = view->service->number;
+  placement->has_view = true;
+  set_homes (placement);
+  kq_directory_drop_gone (placement, now);
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    if (!kq_placement_is_home (placement, i) && !placement->buckets[i].synced)
+      kq_pending_hand_over (placement, i, &placement->buckets[i].home, now);
+  kq_sync_view_changed (placement, now);
+}
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -25,8 +25,8 @@
   BucketCandidates buckets[KQ_BUCKETS];
 };
 
-static bool
-in_service (const KqServiceView *view, const KqMember *target)
+bool
+kq_routing_in_service (const KqServiceView *view, const KqMember *target)
 {
   bool live = target->state == KQ_MEMBER_ALIVE || target->state == KQ_MEMBER_SUSPECT;
   return live && target->phase == KQ_PHASE_SERVING && kq_service_admits (view->service, target);
@@ -89,7 +89,7 @@
   if (routing == NULL)
     return NULL;
   for (unsigned i = 0; i < view->count; i++)
-    if (in_service (view, &view->targets[i]))
+    if (kq_routing_in_service (view, &view->targets[i]))
       offer_everywhere (routing, &view->targets[i]);
   if (routing->buckets[0].count > 0)
     return routing;
