--- a/src/process/agent_data.c
+++ b/src/process/agent_data.c
@@ -204,6 +204,7 @@
                                .directory_max = DIRECTORY_MAX,
                                .idle_us = agent->params.flow_idle_us,
                                .admit_load = agent->params.admit_load,
+                               .load_step = 1000 / agent->service.slots,
                                .seed = kq_random_next (&agent->random) };
   return kq_placement_new (agent->life, &params, &ops, agent);
 }
