Request guard: at most once, truthful refusals, slots and a deadline queue

A POST must run at most once although callers, the network and agents repeat, lose and restart. The guard names a request by flow and token, runs it only with an Echo value of this life, and keeps its outcome longer than the value is fresh; the head of request_guard.c proves it. Ruled out: giving a fresh Echo value to a request that already has one (a copy could run twice), forgetting refusals (a copy of a refused request would run when a slot is free: test 'a refused request never runs later'), and retransmitting a POST to the target, whose deduplication is not promised. A full store refuses and raises a floor under the Echo values.

--- /dev/null
+++ b/include/kumquat/internal/request_cost.h
@@ -0,0 +1,30 @@
+/* Worth of each request class and how long its requests take in the target. */
+#pragma once
+
+#include "kumquat/request_guard.h"
+
+/**
+ * struct KqRequestCosts - moving averages of service times
+ * @worth: (array): of each class; the last one stands for all unnamed classes
+ * @service_us: (array): moving average
+ * @names: (array) names of the classes
+ * @count: classes with the unnamed one
+ */
+typedef struct
+{
+  double worth[KQ_REQUEST_CLASSES_MAX + 1];
+  double service_us[KQ_REQUEST_CLASSES_MAX + 1];
+  char names[KQ_REQUEST_CLASSES_MAX][KQ_NAME_BYTES];
+  unsigned count;
+} KqRequestCosts;
+
+void kq_request_costs_init (KqRequestCosts *costs, const KqRequestGuardParams *params);
+
+/** kq_request_costs_class - Return: index of a class name; the last one when it is not known */
+unsigned kq_request_costs_class (const KqRequestCosts *costs, const char *name);
+
+/** kq_request_costs_sample - learns from one request */
+void kq_request_costs_sample (KqRequestCosts *costs, unsigned class_index, KqTime service_us);
+
+/** kq_request_costs_density - Return: worth for each microsecond in a slot */
+double kq_request_costs_density (const KqRequestCosts *costs, unsigned class_index);
--- /dev/null
+++ b/src/request/request_guard.c
@@ -0,0 +1,196 @@
+/* Runs a non-idempotent request at most once, and says "not run" only when that is certain.
+ *
+ * A guarded request (POST, PATCH) is named by its flow and token. Times are those of one life.
+ *
+ * - It is sent to the target only when it carries an Echo value E of this life and this flow that
+ *   is younger than echo_us, and when no entry for it is kept. The entry is made before it is sent,
+ *   at t0 >= issued (E), and is kept for at least kept_answer_us after t0.
+ * - A copy with the same E that comes when the entry is gone comes after t0 + kept_answer_us, which
+ *   is at least issued (E) + echo_us. So E has expired and the copy does not run: at most once.
+ * - A refusal is kept as well, until E has expired, so that a copy of a refused request that comes
+ *   later does not run. When there is no room to keep it, echo_floor is raised: then no value that
+ *   was issued so far runs anything that has no entry. Either way "not run" stays true.
+ * - With an expired E of an age below kept_answer_us and no entry, the request never ran, since its
+ *   entry would still be kept: "not run" is said. With an older E nobody knows: "outcome unknown".
+ * - A value of another life, another target or another flow says nothing about this request:
+ *   "outcome unknown". No request with an Echo value is ever given a new one.
+ *
+ * The second and the fourth point need that a caller uses one Echo value and one token for one
+ * request (docs/reference/caller-protocol.md). */
+#include <string.h>
+
+#include "kumquat/internal/guard.h"
+
+#define EMPTY_ACK_US KQ_SECOND /* below the caller's ACK_TIMEOUT of 2 s */
+
+static int
+init_tables (KqRequestGuard *guard)
+{
+  const KqRequestGuardParams *params = &guard->params;
+  guard->kept = kq_kept_answers_new (guard, params->kept_answers_max, params->kept_bytes_max,
+                                     params->kept_answer_us, params->echo_us);
+  guard->outbox = kq_outbox_new (guard);
+  if (guard->kept == NULL || guard->outbox == NULL)
+    return -1;
+  if (kq_hash_index_init (&guard->by_token, guard) < 0 ||
+      kq_hash_index_init (&guard->by_target, guard) < 0)
+    return -1;
+  return 0;
+}
+
+KqRequestGuard *
+kq_request_guard_new (const void *parent, const KqRequestGuardParams *params,
+                      const KqRequestGuardOps *ops, void *data)
+{
+  KqRequestGuard *guard = talloc_zero (parent, KqRequestGuard);
+  if (guard == NULL)
+    return NULL;
+  guard->params = *params;
+  guard->ops = *ops;
+  guard->data = data;
+  if (guard->params.kept_bytes_max == 0)
+    guard->params.kept_bytes_max = KQ_KEPT_BYTES_DEFAULT;
+  if (guard->params.observers_max == 0)
+    guard->params.observers_max = KQ_OBSERVERS_DEFAULT;
+  if (guard->params.echo_us > guard->params.kept_answer_us)
+    guard->params.echo_us = guard->params.kept_answer_us;
+  if (init_tables (guard) < 0)
+    {
+      talloc_free (guard);
+      return NULL;
+    }
+  TAILQ_INIT (&guard->running);
+  TAILQ_INIT (&guard->observing);
+  TAILQ_INIT (&guard->late);
+  kq_request_costs_init (&guard->costs, &guard->params);
+  kq_request_queue_init (&guard->queue, params->queue_max,
+                         (params->disable & KQ_DISABLE_DEADLINE_QUEUE) != 0);
+  kq_echo_init (&guard->echo, params->target_id, params->incarnation, params->echo_key);
+  kq_random_seed (&guard->random, params->seed);
+  guard->next_target_token = kq_random_next (&guard->random);
+  for (unsigned i = 0; i < KQ_GUARD_MID_COUNTERS; i++)
+    {
+      guard->caller_mids[i] = (uint16_t)kq_random_next (&guard->random);
+      guard->target_mids[i] = (uint16_t)kq_random_next (&guard->random);
+    }
+  guard->echo_floor = -1;
+  guard->cold = (KqRamp){ .floor = 1, .start = KQ_NEVER, .duration_us = params->ramp_us };
+  guard->shed = (KqRamp){ .floor = params->slots, .start = 0, .duration_us = 0 };
+  return guard;
+}
+
+void
+kq_guard_event (KqRequestGuard *guard, KqTime now)
+{
+  guard->last_event = now;
+  if (guard->cold.start == KQ_NEVER)
+    guard->cold.start = now;
+}
+
+static void
+tick_callers (KqRequestGuard *guard, KqTime now)
+{
+  KqExchange *exchange;
+  KqOutgoing *outgoing;
+  bool give_up;
+  TAILQ_FOREACH (exchange, &guard->running, entry)
+  if (now - exchange->arrived > EMPTY_ACK_US)
+    kq_guard_acknowledge (guard, &exchange->key, &exchange->back);
+  TAILQ_FOREACH (exchange, &guard->queue.list, entry)
+  if (now - exchange->arrived > EMPTY_ACK_US)
+    kq_guard_acknowledge (guard, &exchange->key, &exchange->back);
+  while ((outgoing = kq_outbox_due (guard->outbox, now, &give_up)) != NULL)
+    if (give_up)
+      kq_guard_rejected (guard, &outgoing->key, outgoing->message_id, now);
+    else
+      guard->ops.to_caller (&outgoing->key, outgoing->bytes, outgoing->size, guard->data);
+}
+
+void
+kq_request_guard_tick (KqRequestGuard *guard, KqTime now)
+{
+  kq_guard_event (guard, now);
+  KqExchange *exchange = TAILQ_FIRST (&guard->running);
+  while (exchange != NULL)
+    {
+      KqExchange *next = TAILQ_NEXT (exchange, entry);
+      if (exchange->deadline < now)
+        {
+          guard->stats.deadline_expired++;
+          kq_guard_give_up (guard, exchange, KQ_CANCEL_DEADLINE, now);
+        }
+      exchange = next;
+    }
+  tick_callers (guard, now);
+  kq_guard_tick_target (guard, now);
+  kq_guard_fill (guard, now);
+  kq_kept_answers_expire (guard->kept, now);
+}
+
+void
+kq_request_guard_flow_closed (KqRequestGuard *guard, const KqFlowKey *key, KqTime now)
+{
+  KqExchange *exchange = TAILQ_FIRST (&guard->queue.list);
+  kq_outbox_remove_flow (guard->outbox, key);
+  while (exchange != NULL)
+    {
+      KqExchange *next = TAILQ_NEXT (exchange, entry);
+      if (kq_flow_key_equal (&exchange->key, key))
+        kq_guard_refuse_waiting (guard, exchange, now);
+      exchange = next;
+    }
+  exchange = TAILQ_FIRST (&guard->observing);
+  while (exchange != NULL)
+    {
+      KqExchange *next = TAILQ_NEXT (exchange, entry);
+      if (kq_flow_key_equal (&exchange->key, key))
+        {
+          uint8_t bytes[KQ_DATAGRAM_BYTES];
+          size_t size = kq_guard_refusal (&exchange->back, 0, bytes);
+          kq_guard_notify (guard, exchange, KQ_COAP_NON, bytes, size, now);
+          kq_guard_end_observation (guard, exchange, true);
+        }
+      exchange = next;
+    }
+}
+
+void
+kq_request_guard_drain (KqRequestGuard *guard, KqTime now)
+{
+  guard->cold = (KqRamp){ .floor = guard->params.slots };
+  kq_guard_fill (guard, now);
+}
+
+void
+kq_request_guard_rotate_echo_key (KqRequestGuard *guard, const uint8_t key[32])
+{
+  kq_echo_rotate (&guard->echo, key);
+}
+
+unsigned
+kq_request_guard_load (const KqRequestGuard *guard, KqTime now)
+{
+  unsigned busy = guard->running_count + guard->stuck_count + guard->queue.count;
+  return busy * 1000 / kq_guard_usable (guard, now);
+}
+
+bool
+kq_request_guard_idle (const KqRequestGuard *guard)
+{
+  return guard->running_count == 0 && guard->queue.count == 0 && guard->observer_count == 0 &&
+         TAILQ_EMPTY (&guard->outbox->list);
+}
+
+KqRequestGuardStats
+kq_request_guard_stats (const KqRequestGuard *guard)
+{
+  KqRequestGuardStats stats = guard->stats;
+  stats.running = guard->running_count;
+  stats.waiting = guard->queue.count;
+  stats.observers = guard->observer_count;
+  stats.slots_usable = kq_guard_usable (guard, guard->last_event);
+  stats.slots_stuck = guard->stuck_count;
+  stats.kept_answers = guard->kept->index.count;
+  stats.kept_bytes = guard->kept->bytes;
+  return stats;
+}
--- /dev/null
+++ b/src/request/request_queue.c
@@ -0,0 +1,99 @@
+/* The queue is short (tens of requests), so every decision walks over all of it.
+ *
+ * When more comes than the target can do, the order that gives the most worth is the one of worth
+ * for each unit of slot time (the greedy order of the fractional knapsack). The queue serves in
+ * that order, and when it is full the request at the end of that order leaves. Requests that
+ * cannot meet their deadline are refused as soon as that is known: they would take a slot for an
+ * answer that nobody waits for. Without overload the queue is empty and the order does not matter.
+ */
+#include "kumquat/internal/request_queue.h"
+
+void
+kq_request_queue_init (KqRequestQueue *queue, unsigned max, bool first_in_first_out)
+{
+  TAILQ_INIT (&queue->list);
+  queue->count = 0;
+  queue->max = max;
+  queue->first_in_first_out = first_in_first_out;
+}
+
+/* Whether @a is served before @b; equal worth is served by deadline. */
+static bool
+goes_before (const KqRequestCosts *costs, const KqExchange *a, const KqExchange *b)
+{
+  double density_a = kq_request_costs_density (costs, a->class_index);
+  double density_b = kq_request_costs_density (costs, b->class_index);
+  if (density_a != density_b)
+    return density_a > density_b;
+  return a->deadline < b->deadline;
+}
+
+static KqTime
+expected_us (const KqRequestCosts *costs, const KqExchange *exchange)
+{
+  return (KqTime)costs->service_us[exchange->class_index];
+}
+
+bool
+kq_request_queue_admits (const KqRequestQueue *queue, const KqRequestCosts *costs,
+                         const KqExchange *exchange, unsigned slots, KqTime now,
+                         KqExchange **victim)
+{
+  const KqExchange *other;
+  KqTime ahead_us = 0;
+  *victim = NULL;
+  if (queue->first_in_first_out)
+    return queue->count < queue->max;
+  TAILQ_FOREACH (other, &queue->list, entry)
+  {
+    if (!goes_before (costs, exchange, other))
+      ahead_us += expected_us (costs, other);
+    else if (*victim == NULL || goes_before (costs, *victim, other))
+      *victim = (KqExchange *)other;
+  }
+  if (now + ahead_us / slots + expected_us (costs, exchange) > exchange->deadline)
+    return false;
+  if (queue->count < queue->max)
+    *victim = NULL;
+  return queue->count < queue->max || *victim != NULL;
+}
+
+void
+kq_request_queue_add (KqRequestQueue *queue, KqExchange *exchange)
+{
+  TAILQ_INSERT_TAIL (&queue->list, exchange, entry);
+  queue->count++;
+}
+
+void
+kq_request_queue_remove (KqRequestQueue *queue, KqExchange *exchange)
+{
+  TAILQ_REMOVE (&queue->list, exchange, entry);
+  queue->count--;
+}
+
+KqExchange *
+kq_request_queue_next (const KqRequestQueue *queue, const KqRequestCosts *costs)
+{
+  KqExchange *best = TAILQ_FIRST (&queue->list);
+  KqExchange *other;
+  if (queue->first_in_first_out)
+    return best;
+  TAILQ_FOREACH (other, &queue->list, entry)
+  if (goes_before (costs, other, best))
+    best = other;
+  return best;
+}
+
+KqExchange *
+kq_request_queue_late (const KqRequestQueue *queue, const KqRequestCosts *costs, KqTime now)
+{
+  KqExchange *exchange;
+  TAILQ_FOREACH (exchange, &queue->list, entry)
+  {
+    KqTime needed_us = queue->first_in_first_out ? 0 : expected_us (costs, exchange);
+    if (now + needed_us > exchange->deadline)
+      return exchange;
+  }
+  return NULL;
+}
--- /dev/null
+++ b/tests/unit/test_request_guard.c
@@ -0,0 +1,412 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/coap_message.h"
+#include "kumquat/request_guard.h"
+#include "unit.h"
+
+#define LAST_MAX 64
+
+/* What a guard sent, oldest first. */
+typedef struct
+{
+  KqCoapMessage messages[LAST_MAX];
+  uint8_t bytes[LAST_MAX][KQ_DATAGRAM_BYTES];
+  KqFlowKey keys[LAST_MAX];
+  unsigned count;
+} Sent;
+
+/* One guard, what it sent, and a clock that only the test moves. */
+typedef struct
+{
+  KqRequestGuard *guard;
+  Sent caller;
+  Sent target;
+  KqTime now;
+  uint16_t next_mid;
+  KqFlowKey flow;
+} Fixture;
+
+static void
+record (Sent *sent, const KqFlowKey *key, const uint8_t *bytes, size_t size)
+{
+  CU_ASSERT_FATAL (sent->count < LAST_MAX);
+  memcpy (sent->bytes[sent->count], bytes, size);
+  CU_ASSERT_FATAL (kq_coap_message_parse (sent->bytes[sent->count], size,
+                                          &sent->messages[sent->count], NULL) == 0);
+  sent->keys[sent->count] = *key;
+  sent->count++;
+}
+
+static void
+to_target (const KqFlowKey *key, const uint8_t *bytes, size_t size, void *data)
+{
+  record (&((Fixture *)data)->target, key, bytes, size);
+}
+
+static void
+to_caller (const KqFlowKey *key, const uint8_t *bytes, size_t size, void *data)
+{
+  record (&((Fixture *)data)->caller, key, bytes, size);
+}
+
+static void
+finished (const KqFlowKey *key, KqTime latency, bool answered, void *data)
+{
+  (void)key;
+  (void)latency;
+  (void)answered;
+  (void)data;
+}
+
+static const KqRequestGuardOps ops = { to_target, to_caller, finished };
+
+static KqRequestGuardParams
+default_params (void)
+{
+  return (KqRequestGuardParams){ .target_id = 1,
+                                 .incarnation = 7,
+                                 .echo_key = { 3 },
+                                 .slots = 2,
+                                 .queue_max = 2,
+                                 .deadline_us = 2 * KQ_SECOND,
+                                 .kept_answers_max = 8,
+                                 .kept_answer_us = 247 * KQ_SECOND,
+                                 .echo_us = 30 * KQ_SECOND,
+                                 .seed = 1 };
+}
+
+static void
+setup (Fixture *fixture, const KqRequestGuardParams *params)
+{
+  memset (fixture, 0, sizeof *fixture);
+  fixture->now = 100 * KQ_SECOND;
+  fixture->next_mid = 1;
+  fixture->flow.service = 1;
+  fixture->flow.caller.port = 4000;
+  fixture->guard = kq_request_guard_new (NULL, params, &ops, fixture);
+  CU_ASSERT_FATAL (fixture->guard != NULL);
+}
+
+static void
+from_caller (Fixture *fixture, const KqCoapMessage *message)
+{
+  uint8_t bytes[KQ_DATAGRAM_BYTES];
+  int size = kq_coap_message_format (message, bytes, sizeof bytes);
+  kq_request_guard_from_caller (fixture->guard, &fixture->flow, bytes, (size_t)size, fixture->now);
+}
+
+static void
+from_target (Fixture *fixture, const KqCoapMessage *message)
+{
+  uint8_t bytes[KQ_DATAGRAM_BYTES];
+  int size = kq_coap_message_format (message, bytes, sizeof bytes);
+  kq_request_guard_from_target (fixture->guard, &fixture->flow, bytes, (size_t)size, fixture->now);
+}
+
+static KqCoapMessage
+make_request (Fixture *fixture, uint8_t code, uint8_t token)
+{
+  return (KqCoapMessage){ .type = KQ_COAP_CON,
+                          .code = code,
+                          .message_id = fixture->next_mid++,
+                          .token = { token },
+                          .token_size = 1,
+                          .path = "marks",
+                          .payload = (const uint8_t *)"7.5",
+                          .payload_size = 3 };
+}
+
+static const KqCoapMessage *
+last (const Sent *sent)
+{
+  CU_ASSERT_FATAL (sent->count > 0);
+  return &sent->messages[sent->count - 1];
+}
+
+/* Asks for an Echo value with another token and returns the POST that carries it. */
+static KqCoapMessage
+make_post (Fixture *fixture, uint8_t token)
+{
+  KqCoapMessage first = make_request (fixture, KQ_COAP_POST, (uint8_t)(token + 100));
+  from_caller (fixture, &first);
+  const KqCoapMessage *challenge = last (&fixture->caller);
+  CU_ASSERT (challenge->code == KQ_COAP_UNAUTHORIZED && challenge->echo_size > 0);
+  CU_ASSERT (challenge->type == KQ_COAP_ACK && challenge->message_id == first.message_id);
+  KqCoapMessage post = make_request (fixture, KQ_COAP_POST, token);
+  post.echo_size = challenge->echo_size;
+  memcpy (post.echo, challenge->echo, sizeof post.echo);
+  return post;
+}
+
+/* Answers request number @index of those that the target got. */
+static void
+answer (Fixture *fixture, unsigned index, uint8_t code, const char *payload)
+{
+  const KqCoapMessage *request = &fixture->target.messages[index];
+  KqCoapMessage message = { .type = KQ_COAP_ACK,
+                            .code = code,
+                            .message_id = request->message_id,
+                            .token_size = request->token_size,
+                            .payload = (const uint8_t *)payload,
+                            .payload_size = strlen (payload) };
+  memcpy (message.token, request->token, sizeof message.token);
+  from_target (fixture, &message);
+}
+
+static void
+expect_last (const Fixture *fixture, uint8_t code, const char *payload)
+{
+  const KqCoapMessage *message = last (&fixture->caller);
+  CU_ASSERT (message->code == code);
+  CU_ASSERT (message->payload_size == strlen (payload));
+  CU_ASSERT (memcmp (message->payload, payload, strlen (payload)) == 0);
+}
+
+static void
+test_post_runs_once (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  KqCoapMessage post = make_post (&fixture, 1);
+  CU_ASSERT (fixture.target.count == 0);
+  from_caller (&fixture, &post);
+  CU_ASSERT_FATAL (fixture.target.count == 1);
+  CU_ASSERT (last (&fixture.target)->echo_size == 0);
+  CU_ASSERT_STRING_EQUAL (last (&fixture.target)->query, "deadline=2000");
+  from_caller (&fixture, &post); /* a retransmission while it runs */
+  CU_ASSERT (last (&fixture.caller)->type == KQ_COAP_ACK && last (&fixture.caller)->code == 0);
+  answer (&fixture, 0, KQ_COAP_CHANGED, "ok");
+  expect_last (&fixture, KQ_COAP_CHANGED, "ok"); /* separate, since it was acknowledged */
+  CU_ASSERT (last (&fixture.caller)->type == KQ_COAP_CON);
+  CU_ASSERT (last (&fixture.caller)->token[0] == 1);
+  post.message_id = fixture.next_mid++; /* repeated with a new message id */
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_CHANGED, "ok");
+  CU_ASSERT (last (&fixture.caller)->message_id == post.message_id);
+  post.echo_size = 0; /* a delayed copy without the Echo value */
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_CHANGED, "ok");
+  CU_ASSERT (fixture.target.count == 1);
+  KqRequestGuardStats stats = kq_request_guard_stats (fixture.guard);
+  CU_ASSERT (stats.repeats_running == 1 && stats.repeats_answered == 2 && stats.answered == 1);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_reused_token_is_refused (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  KqCoapMessage post = make_post (&fixture, 1);
+  from_caller (&fixture, &post);
+  answer (&fixture, 0, KQ_COAP_CHANGED, "ok");
+  post.message_id = fixture.next_mid++;
+  post.payload = (const uint8_t *)"9.9";
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_BAD_REQUEST, "");
+  CU_ASSERT (fixture.target.count == 1);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_other_life_is_unknown (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  KqCoapMessage post = make_post (&fixture, 1);
+  from_caller (&fixture, &post);
+  talloc_free (fixture.guard);
+  params.incarnation++;
+  fixture.guard = kq_request_guard_new (NULL, &params, &ops, &fixture);
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  answer (&fixture, 0, KQ_COAP_CHANGED, "ok"); /* for the earlier life */
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  CU_ASSERT (fixture.target.count == 1);
+  CU_ASSERT (kq_request_guard_stats (fixture.guard).late_answers_dropped == 1);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_other_flow_and_target_are_unknown (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  KqCoapMessage post = make_post (&fixture, 1);
+  fixture.flow.caller.port++;
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  fixture.flow.caller.port--;
+  talloc_free (fixture.guard);
+  params.target_id++;
+  fixture.guard = kq_request_guard_new (NULL, &params, &ops, &fixture);
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  post.echo[0] ^= 1;
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  CU_ASSERT (fixture.target.count == 0);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_expired_echo (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  KqCoapMessage post = make_post (&fixture, 1);
+  KqTime issued = fixture.now;
+  fixture.now = issued + params.echo_us;
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, ""); /* certainly never ran */
+  fixture.now = issued + params.kept_answer_us;
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  CU_ASSERT (fixture.target.count == 0);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_kept_answer_outlives_its_echo (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  KqCoapMessage post = make_post (&fixture, 1);
+  from_caller (&fixture, &post);
+  answer (&fixture, 0, KQ_COAP_CHANGED, "ok");
+  fixture.now += params.kept_answer_us - 1;
+  kq_request_guard_tick (fixture.guard, fixture.now);
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_CHANGED, "ok");
+  fixture.now += 1;
+  kq_request_guard_tick (fixture.guard, fixture.now);
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  CU_ASSERT (fixture.target.count == 1);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_full_store_refuses_and_no_copy_runs (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  params.kept_answers_max = 1;
+  setup (&fixture, &params);
+  KqCoapMessage first = make_post (&fixture, 1);
+  KqCoapMessage second = make_post (&fixture, 2);
+  from_caller (&fixture, &first);
+  answer (&fixture, 0, KQ_COAP_CHANGED, "ok");
+  fixture.now += KQ_SECOND;
+  from_caller (&fixture, &second);
+  expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
+  KqCoapMessage third = make_request (&fixture, KQ_COAP_POST, 3);
+  from_caller (&fixture, &third);
+  expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, ""); /* no challenge either */
+  from_caller (&fixture, &first);
+  expect_last (&fixture, KQ_COAP_CHANGED, "ok");
+  fixture.now += params.kept_answer_us; /* there is room again: the refused copy must not run */
+  kq_request_guard_tick (fixture.guard, fixture.now);
+  from_caller (&fixture, &second);
+  CU_ASSERT (last (&fixture.caller)->code != KQ_COAP_CHANGED && fixture.target.count == 1);
+  KqCoapMessage fourth = make_post (&fixture, 4);
+  from_caller (&fixture, &fourth);
+  CU_ASSERT (fixture.target.count == 2);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_refused_request_never_runs_later (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  params.slots = 1;
+  params.queue_max = 0;
+  setup (&fixture, &params);
+  KqCoapMessage busy = make_post (&fixture, 1);
+  KqCoapMessage refused = make_post (&fixture, 2);
+  from_caller (&fixture, &busy);
+  from_caller (&fixture, &refused);
+  expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
+  CU_ASSERT (last (&fixture.caller)->max_age_present);
+  answer (&fixture, 0, KQ_COAP_CHANGED, "ok");
+  from_caller (&fixture, &refused); /* a slot is free now */
+  expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
+  CU_ASSERT (fixture.target.count == 1);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_late_answer_goes_to_its_own_request_only (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  KqCoapMessage post = make_post (&fixture, 1);
+  from_caller (&fixture, &post);
+  fixture.now += params.deadline_us + 1;
+  kq_request_guard_tick (fixture.guard, fixture.now);
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  CU_ASSERT (fixture.target.messages[1].type == KQ_COAP_RST);
+  KqCoapMessage next = make_request (&fixture, KQ_COAP_GET, 1); /* the same token */
+  from_caller (&fixture, &next);
+  unsigned sent = fixture.caller.count;
+  answer (&fixture, 0, KQ_COAP_CHANGED, "late");
+  CU_ASSERT (fixture.caller.count == sent);
+  CU_ASSERT (kq_request_guard_stats (fixture.guard).late_answers_dropped == 1);
+  answer (&fixture, fixture.target.count - 1, KQ_COAP_CONTENT, "own");
+  expect_last (&fixture, KQ_COAP_CONTENT, "own");
+  from_caller (&fixture, &post); /* the repeat of the first request gets its real answer */
+  expect_last (&fixture, KQ_COAP_CHANGED, "late");
+  talloc_free (fixture.guard);
+}
+
+static void
+test_crossed_answers (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  KqCoapMessage one = make_request (&fixture, KQ_COAP_GET, 1);
+  KqCoapMessage two = make_request (&fixture, KQ_COAP_GET, 1);
+  from_caller (&fixture, &one);
+  fixture.flow.caller.port++; /* another caller with the same token */
+  from_caller (&fixture, &two);
+  answer (&fixture, 0, KQ_COAP_CONTENT, "one"); /* on the wrong flow */
+  CU_ASSERT (fixture.caller.count == 0);
+  answer (&fixture, 1, KQ_COAP_CONTENT, "two");
+  expect_last (&fixture, KQ_COAP_CONTENT, "two");
+  CU_ASSERT (fixture.caller.keys[fixture.caller.count - 1].caller.port == 4001);
+  fixture.flow.caller.port--;
+  answer (&fixture, 0, KQ_COAP_CONTENT, "one");
+  expect_last (&fixture, KQ_COAP_CONTENT, "one");
+  CU_ASSERT (last (&fixture.caller)->message_id == one.message_id);
+  CU_ASSERT (fixture.caller.keys[fixture.caller.count - 1].caller.port == 4000);
+  talloc_free (fixture.guard);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "a POST runs once", test_post_runs_once },
+    { "a reused token is refused", test_reused_token_is_refused },
+    { "an Echo value of another life is unknown", test_other_life_is_unknown },
+    { "another flow or target is unknown", test_other_flow_and_target_are_unknown },
+    { "an expired Echo value", test_expired_echo },
+    { "a kept answer outlives its Echo value", test_kept_answer_outlives_its_echo },
+    { "a full store refuses and no copy runs", test_full_store_refuses_and_no_copy_runs },
+    { "a refused request never runs later", test_refused_request_never_runs_later },
+    { "a late answer goes to its own request", test_late_answer_goes_to_its_own_request_only },
+    { "crossed answers", test_crossed_answers },
+  };
+  return kq_unit_run ("request guard", tests, sizeof tests / sizeof tests[0]);
+}
