--- a/include/kumquat/store.h
+++ b/include/kumquat/store.h
@@ -69,6 +69,9 @@
 KqStore *kq_store_new (const void *parent, struct tevent_context *ev, const KqAddress *endpoints,
                        unsigned count, KqTime timeout_us, KqError *error);
 
+/* No callback of the store may free the store; kq_store_unwatch() is allowed from anywhere but
+ * @changed. */
+
 /** kq_store_read - reads every key that starts with @prefix; @done is called once */
 void kq_store_read (KqStore *store, const char *prefix, KqStoreDone done, void *data);
 
@@ -79,9 +82,11 @@
 /**
  * kq_store_watch - reads every key under @prefix, then follows its changes
  *
- * @changed is called with the whole set at first and after each gap (a broken watch, compaction,
- * an outage, a restored store), and with the changed keys otherwise; with error set when the store
- * cannot be reached, at most once an outage. Retries by itself with a growing, jittered delay.
+ * @changed is called with the whole set at first, after a compaction and when the store was
+ * restored (another cluster id or an older revision), and with the changed keys otherwise; a broken
+ * stream is opened again behind the last revision, so that no change is missed or told twice. It is
+ * called with error set when the store cannot be reached, at most once an outage. Retries by itself
+ * with a growing, jittered delay.
  */
 void kq_store_watch (KqStore *store, const char *prefix, KqStoreDone changed, void *data);
 
--- a/src/process/http_server.c
+++ b/src/process/http_server.c
@@ -13,7 +13,7 @@
 
 #include "kumquat/http_server.h"
 
-#define BODY_BYTES_MAX     ((size_t)1024 * 1024)
+#define BODY_BYTES_MAX     ((size_t)2 * 1024 * 1024) /* a value of 1 MB in base64 fits */
 #define CONNECTIONS_MAX    256
 #define CONNECTION_IDLE_S  60
 #define STREAM_BLOCK_BYTES 4096
@@ -193,7 +193,7 @@
 static void
 handle (KqHttpRequest *request)
 {
-  static const char too_large[] = "{\"error\":\"body is too large; send at most 1 MiB\"}\n";
+  static const char too_large[] = "{\"error\":\"body is too large; send at most 2 MiB\"}\n";
   KqHttpServer *server = request->server;
   request->handled = true;
   if (request->too_large)
--- /dev/null
+++ b/tests/unit/test_store.c
@@ -0,0 +1,348 @@
+/* Contract of the platform's store as the client relies on it. The cases without faults also run
+ * against a real store: KQ_STORE_ADDRESS=127.0.0.1:2379 build/asan/tests/test_store. */
+
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "kumquat/store.h"
+#include "store_server.h"
+#include "unit.h"
+
+#define TIMEOUT_US (200 * KQ_MS)
+
+/**
+ * struct Got - what a callback was given
+ */
+typedef struct
+{
+  unsigned calls;
+  unsigned failures;
+  KqErrorKind kind;
+  uint64_t revision;
+  uint64_t cluster_id;
+  unsigned count;
+  uint64_t mod_revision;
+  char text[64];
+} Got;
+
+static struct tevent_context *ev;
+static StoreServer *server;
+static KqStore *store;
+static KqAddress address;
+static char prefix[64];
+
+static void
+on_reply (const KqStoreReply *reply, void *data)
+{
+  Got *got = data;
+  got->calls++;
+  got->failures += reply->error.kind != KQ_ERROR_NONE;
+  got->kind = reply->error.kind;
+  got->revision = reply->revision;
+  got->cluster_id = reply->cluster_id;
+  got->count = reply->count;
+  if (reply->count == 0)
+    return;
+  const KqStoreValue *last = &reply->values[reply->count - 1];
+  got->mod_revision = last->mod_revision;
+  snprintf (got->text, sizeof got->text, "%.*s", (int)last->size, (const char *)last->bytes);
+}
+
+static bool
+set_up (void)
+{
+  const char *real = getenv ("KQ_STORE_ADDRESS");
+  ev = tevent_context_init (NULL);
+  server = NULL;
+  kq_address_parse (real == NULL ? "127.0.0.1:0" : real, &address, NULL);
+  snprintf (prefix, sizeof prefix, "/kq-test/%ld/%p/", (long)getpid (), (void *)ev);
+  if (real == NULL)
+    {
+      server = store_server_new (ev, ev, &address, NULL, NULL);
+      address.port = store_server_port (server);
+    }
+  store = kq_store_new (ev, ev, &address, 1, TIMEOUT_US, NULL);
+  return server != NULL;
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (ev);
+}
+
+static void
+wait_calls (const Got *got, unsigned calls)
+{
+  while (got->calls < calls)
+    tevent_loop_once (ev);
+}
+
+static Got
+read_all (void)
+{
+  Got got = { 0 };
+  kq_store_read (store, prefix, on_reply, &got);
+  wait_calls (&got, 1);
+  return got;
+}
+
+static Got
+write_key (const char *name, const char *text, uint64_t expected)
+{
+  Got got = { 0 };
+  char key[96];
+  snprintf (key, sizeof key, "%s%s", prefix, name);
+  KqStoreWrite write = { key, (const uint8_t *)text, strlen (text), expected };
+  kq_store_write (store, &write, 1, on_reply, &got);
+  wait_calls (&got, 1);
+  return got;
+}
+
+static void
+test_compare_and_swap (void)
+{
+  set_up ();
+  CU_ASSERT (write_key ("a", "one", 0).kind == KQ_ERROR_NONE);
+  Got got = read_all ();
+  CU_ASSERT (got.count == 1 && strcmp (got.text, "one") == 0 && got.cluster_id != 0);
+  Got clash = write_key ("a", "two", 0);
+  CU_ASSERT (clash.kind == KQ_ERROR_CONFLICT);
+  CU_ASSERT (clash.count == 1 && clash.mod_revision == got.mod_revision);
+  CU_ASSERT (write_key ("a", "two", got.mod_revision).kind == KQ_ERROR_NONE);
+  CU_ASSERT (write_key ("a", "three", got.mod_revision).kind == KQ_ERROR_CONFLICT);
+  CU_ASSERT_STRING_EQUAL (read_all ().text, "two");
+  tear_down ();
+}
+
+static void
+test_writes_happen_together_or_not (void)
+{
+  char keys[2][96];
+  Got got = { 0 };
+  set_up ();
+  write_key ("b", "old", 0);
+  snprintf (keys[0], sizeof keys[0], "%sa", prefix);
+  snprintf (keys[1], sizeof keys[1], "%sb", prefix);
+  KqStoreWrite writes[] = { { keys[0], (const uint8_t *)"new", 3, 0 },
+                            { keys[1], (const uint8_t *)"new", 3, 0 } };
+  kq_store_write (store, writes, 2, on_reply, &got);
+  wait_calls (&got, 1);
+  CU_ASSERT (got.kind == KQ_ERROR_CONFLICT);
+  got = read_all ();
+  CU_ASSERT (got.count == 1 && strcmp (got.text, "old") == 0);
+  tear_down ();
+}
+
+static void
+test_read_goes_over_pages (void)
+{
+  char name[16];
+  set_up ();
+  for (unsigned i = 0; i < 1203; i++)
+    {
+      snprintf (name, sizeof name, "k%04u", i);
+      write_key (name, name, 0);
+    }
+  Got got = read_all ();
+  CU_ASSERT (got.count == 1203);
+  CU_ASSERT_STRING_EQUAL (got.text, "k1202");
+  tear_down ();
+}
+
+static void
+test_watch_tells_the_whole_then_changes (void)
+{
+  Got got = { 0 };
+  set_up ();
+  write_key ("a", "one", 0);
+  write_key ("b", "two", 0);
+  kq_store_watch (store, prefix, on_reply, &got);
+  wait_calls (&got, 1);
+  CU_ASSERT (got.count == 2);
+  write_key ("c", "three", 0);
+  wait_calls (&got, 2);
+  CU_ASSERT (got.count == 1 && strcmp (got.text, "three") == 0 && got.failures == 0);
+  tear_down ();
+}
+
+static void
+test_large_value (void)
+{
+  set_up ();
+  size_t size = 900000;
+  char *text = talloc_zero_array (ev, char, size + 1);
+  memset (text, 'x', size);
+  CU_ASSERT (write_key ("a", text, 0).kind == KQ_ERROR_NONE);
+  CU_ASSERT (read_all ().count == 1);
+  tear_down ();
+}
+
+static void
+test_refused_connection_is_no_effect (void)
+{
+  if (set_up ())
+    {
+      store_server_admin (server, "down", 1);
+      CU_ASSERT (write_key ("a", "one", 0).kind == KQ_ERROR_UNAVAILABLE);
+      CU_ASSERT (!kq_store_reachable (store));
+      CU_ASSERT (read_all ().kind == KQ_ERROR_UNAVAILABLE);
+      store_server_admin (server, "down", 0);
+      CU_ASSERT (read_all ().count == 0 && kq_store_reachable (store));
+    }
+  tear_down ();
+}
+
+static void
+test_lost_answer_is_unknown_outcome (void)
+{
+  if (set_up ())
+    {
+      store_server_admin (server, "lose_answers", 1);
+      CU_ASSERT (write_key ("a", "one", 0).kind == KQ_ERROR_UNKNOWN_OUTCOME);
+      CU_ASSERT_STRING_EQUAL (read_all ().text, "one");
+      store_server_admin (server, "lose_requests", 1);
+      CU_ASSERT (write_key ("b", "two", 0).kind == KQ_ERROR_UNKNOWN_OUTCOME);
+      CU_ASSERT (read_all ().count == 1);
+      store_server_admin (server, "slow", 1000);
+      CU_ASSERT (write_key ("c", "three", 0).kind == KQ_ERROR_UNKNOWN_OUTCOME);
+      CU_ASSERT (read_all ().kind == KQ_ERROR_UNAVAILABLE);
+    }
+  tear_down ();
+}
+
+static void
+test_broken_watch_misses_and_repeats_nothing (void)
+{
+  Got got = { 0 };
+  if (set_up ())
+    {
+      kq_store_watch (store, prefix, on_reply, &got);
+      wait_calls (&got, 1);
+      for (unsigned i = 0; i < 3; i++)
+        {
+          char name[8];
+          snprintf (name, sizeof name, "k%u", i);
+          store_server_admin (server, "break_watches", 1);
+          write_key (name, name, 0);
+          wait_calls (&got, 2 + i);
+          CU_ASSERT (got.count == 1 && strcmp (got.text, name) == 0);
+        }
+      CU_ASSERT (got.failures == 0);
+    }
+  tear_down ();
+}
+
+static void
+test_compacted_watch_reads_the_whole (void)
+{
+  Got got = { 0 };
+  if (set_up ())
+    {
+      write_key ("a", "one", 0);
+      kq_store_watch (store, prefix, on_reply, &got);
+      wait_calls (&got, 1);
+      store_server_admin (server, "mute_watches", 1);
+      write_key ("b", "two", 0);
+      store_server_admin (server, "compact", 1);
+      store_server_admin (server, "mute_watches", 0);
+      store_server_admin (server, "break_watches", 1);
+      wait_calls (&got, 2);
+      CU_ASSERT (got.count == 2 && got.failures == 0);
+    }
+  tear_down ();
+}
+
+static void
+test_restored_store_is_told_by_its_identity (void)
+{
+  Got got = { 0 };
+  if (set_up ())
+    {
+      write_key ("a", "one", 0);
+      store_server_admin (server, "snapshot", 1);
+      write_key ("b", "two", 0);
+      kq_store_watch (store, prefix, on_reply, &got);
+      wait_calls (&got, 1);
+      Got before = got;
+      store_server_admin (server, "restore", 1);
+      wait_calls (&got, 2);
+      CU_ASSERT (got.cluster_id != before.cluster_id && got.revision < before.revision);
+      CU_ASSERT (got.count == 1 && strcmp (got.text, "one") == 0);
+    }
+  tear_down ();
+}
+
+static void
+test_outage_is_told_once (void)
+{
+  Got got = { 0 };
+  if (set_up ())
+    {
+      kq_store_watch (store, prefix, on_reply, &got);
+      wait_calls (&got, 1);
+      store_server_admin (server, "down", 1);
+      wait_calls (&got, 2);
+      CU_ASSERT (got.failures == 1 && got.kind == KQ_ERROR_UNAVAILABLE);
+      store_server_admin (server, "down", 0);
+      address.port = store_server_port (server);
+      write_key ("a", "one", 0);
+      wait_calls (&got, 3);
+      CU_ASSERT (got.failures == 1 && got.count == 1);
+    }
+  tear_down ();
+}
+
+static void
+test_deaf_watch_is_found (void)
+{
+  Got got = { 0 };
+  if (set_up ())
+    {
+      kq_store_watch (store, prefix, on_reply, &got);
+      wait_calls (&got, 1);
+      store_server_admin (server, "mute_watches", 1);
+      write_key ("a", "one", 0);
+      store_server_admin (server, "mute_watches", 0);
+      wait_calls (&got, 2);
+      CU_ASSERT (got.count == 1 && got.failures == 0);
+    }
+  tear_down ();
+}
+
+static void
+test_frees_with_calls_in_progress (void)
+{
+  Got got = { 0 };
+  set_up ();
+  kq_store_watch (store, prefix, on_reply, &got);
+  wait_calls (&got, 1);
+  kq_store_read (store, prefix, on_reply, &got);
+  tevent_loop_once (ev);
+  tear_down ();
+  CU_ASSERT (got.calls <= 2);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "compare and swap", test_compare_and_swap },
+    { "writes happen together or not", test_writes_happen_together_or_not },
+    { "read goes over pages", test_read_goes_over_pages },
+    { "watch tells the whole, then changes", test_watch_tells_the_whole_then_changes },
+    { "large value", test_large_value },
+    { "refused connection is no effect", test_refused_connection_is_no_effect },
+    { "lost answer is unknown outcome", test_lost_answer_is_unknown_outcome },
+    { "broken watch misses and repeats nothing", test_broken_watch_misses_and_repeats_nothing },
+    { "compacted watch reads the whole", test_compacted_watch_reads_the_whole },
+    { "restored store is told by its identity", test_restored_store_is_told_by_its_identity },
+    { "outage is told once", test_outage_is_told_once },
+    { "deaf watch is found", test_deaf_watch_is_found },
+    { "frees with calls in progress", test_frees_with_calls_in_progress },
+  };
+  return kq_unit_run ("store", tests, sizeof tests / sizeof tests[0]);
+}
