--- a/standins/target.c
+++ b/standins/target.c
@@ -17,11 +17,12 @@
 #include "net.h"
 #include "standin.h"
 
-#define JOBS_MAX      256
-#define FEEDS_MAX     4096
-#define BATCH         64
-#define FEED_LIFE     (10 * KQ_SECOND) /* a feed that its caller does not renew ends */
-#define OPERATION_MAX 48
+#define JOBS_MAX        256
+#define FEEDS_MAX       4096
+#define BATCH           64
+#define FEED_LIFE       (10 * KQ_SECOND) /* a feed that its caller does not renew ends */
+#define MISBEHAVE_EVERY 10
+#define OPERATION_MAX   48
 
 /**
  * struct Job - one request that waits or runs
@@ -84,6 +85,8 @@
   double cold_factor;
   int feed_ms;
   int lie;
+  const char *misbehave;
+  unsigned answers;
   KqTime started;
   Job *jobs[JOBS_MAX]; /* in order of arrival */
   int job_count;
@@ -230,6 +233,15 @@
   return -1;
 }
 
+/* Every few answers are wrong on purpose, so that tests can show that the callers notice. */
+static bool
+is_misbehaving (Target *target, const char *how)
+{
+  if (target->misbehave == NULL || strcmp (target->misbehave, how) != 0)
+    return false;
+  return ++target->answers % MISBEHAVE_EVERY == 0;
+}
+
 static void
 answer_job (Job *job)
 {
@@ -244,6 +256,13 @@
       send_plain (target, &job->peer, &job->request, KQ_COAP_NOT_FOUND);
       return;
     }
+  if (is_misbehaving (target, "refuse"))
+    {
+      send_plain (target, &job->peer, &job->request, KQ_COAP_SERVICE_UNAVAILABLE);
+      return;
+    }
+  if (is_misbehaving (target, "half"))
+    size /= 2;
   content_write_head (&job->head, payload);
   answer.payload = payload;
   answer.payload_size = CONTENT_HEAD_BYTES + (size_t)size;
@@ -428,6 +447,13 @@
   run_waiting (target);
 }
 
+static void
+answer_ping (Target *target, const struct sockaddr_in *peer, uint16_t id)
+{
+  KqCoapMessage reset = { .type = KQ_COAP_RST, .message_id = id };
+  send_message (target, peer, &reset);
+}
+
 static void
 on_datagram (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
 {
@@ -446,6 +472,8 @@
         target->counts.malformed++;
       else if (message.type == KQ_COAP_RST)
         cancel (target, &peer, message.message_id);
+      else if (message.type == KQ_COAP_CON && message.code == KQ_COAP_EMPTY)
+        answer_ping (target, &peer, message.message_id);
       else if (message.code >= KQ_COAP_GET && message.code <= KQ_COAP_DELETE)
         take_request (target, &peer, &message);
     }
@@ -474,6 +502,7 @@
   static char *listen = NULL;
   static char *service = NULL;
   static char *name = NULL;
+  static char *misbehave = NULL;
   static char *journal = NULL;
   static char *summary = NULL;
   int seed = 1;
@@ -494,6 +523,7 @@
     { "cold-factor", 0, POPT_ARG_DOUBLE, &target->cold_factor, 0, "slower while cold", "X" },
     { "feed-ms", 0, POPT_ARG_INT, &target->feed_ms, 0, "interval of notifications", "MS" },
     { "lie", 0, POPT_ARG_NONE, &target->lie, 0, "report no load at /load", NULL },
+    { "misbehave", 0, POPT_ARG_STRING, &misbehave, 0, "half or refuse: wrong answers", "HOW" },
     { "seed", 0, POPT_ARG_INT, &seed, 0, "seed of the service times", "N" },
     { "seconds", 0, POPT_ARG_INT, &seconds, 0, "ends after so long", "S" },
     { "journal", 0, POPT_ARG_STRING, &journal, 0, "file of the events", "FILE" },
@@ -506,6 +536,7 @@
     standin_fail ("options", "give --listen, --service and --name, see --help");
   target->service = service;
   target->name = name;
+  target->misbehave = misbehave;
   struct sockaddr_in address = net_address (listen);
   target->standin = standin_new ((uint64_t)seed, seconds);
   target->started = standin_now ();
--- /dev/null
+++ b/tests/scripted/records.sh
@@ -0,0 +1,2 @@
+# The checkers of callers and targets notice every broken promise.
+exec python3 tests/integration/check_records.py
