Configuration changes reach the request guard of a running agent

Change: kq_request_guard_set_limits(); a class keeps the service time learnt under its name. Ruled out: a new guard; it would forget kept answers and break at most once. Figures: the new test fails without the call (one request waits) and passes with it. Conclusion: limits follow the configuration without a restart.

--- a/include/kumquat/internal/request_cost.h
+++ b/include/kumquat/internal/request_cost.h
@@ -20,6 +20,10 @@
 
 void kq_request_costs_init (KqRequestCosts *costs, const KqRequestGuardParams *params);
 
+/** kq_request_costs_set_classes - takes other classes; a class keeps what was learnt under its name
+ */
+void kq_request_costs_set_classes (KqRequestCosts *costs, const KqRequestGuardParams *params);
+
 /** kq_request_costs_class - Return: index of a class name; the last one when it is not known */
 unsigned kq_request_costs_class (const KqRequestCosts *costs, const char *name);
 
--- a/include/kumquat/request_guard.h
+++ b/include/kumquat/request_guard.h
@@ -199,6 +199,10 @@
 
 KqRequestGuardStats kq_request_guard_stats (const KqRequestGuard *guard);
 
-/** kq_request_guard_set_limits - takes other limits; requests that run or wait stay */
-void kq_request_guard_set_limits (KqRequestGuard *guard, unsigned slots, KqTime deadline_us,
+/**
+ * kq_request_guard_set_limits - takes another configuration; requests that run or wait stay
+ * @limits: (borrowed): its slots, queue_max, deadline_us, classes, class_count and default_worth
+ * are taken, the rest is not looked at
+ */
+void kq_request_guard_set_limits (KqRequestGuard *guard, const KqRequestGuardParams *limits,
                                   KqTime now);
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -62,6 +62,8 @@
   kq_log (LOG_NOTICE, "phase-changed", "from=%s to=%s", phase_name (agent->phase),
           phase_name (phase));
   agent->phase = phase;
+  if (agent->guard != NULL && phase == KQ_PHASE_DRAINING)
+    kq_request_guard_drain (agent->guard, kq_clock_now ());
   if (agent->placement != NULL)
     kq_placement_set_draining (agent->placement, phase != KQ_PHASE_SERVING, kq_clock_now ());
   kq_control_set_phase (agent->control, phase);
--- a/src/process/agent_data.c
+++ b/src/process/agent_data.c
@@ -170,23 +170,37 @@
   kq_flow_sockets_close (agent->flows, key);
 }
 
-static KqRequestGuard *
-make_guard (KqAgent *agent)
+static KqRequestGuardParams
+guard_params (KqAgent *agent)
 {
-  static const KqRequestGuardOps ops = { .to_target = send_to_target,
-                                         .to_caller = send_answer,
-                                         .finished = request_finished };
+  const KqService *service = &agent->service;
   KqRequestGuardParams params = { .target_id = agent->self.id,
                                   .incarnation = agent->self.incarnation,
-                                  .slots = agent->service.slots,
+                                  .slots = service->slots,
                                   .queue_max = agent->params.queue_max,
-                                  .deadline_us = agent->service.deadline_ms * KQ_MS,
+                                  .deadline_us = service->deadline_ms * KQ_MS,
                                   .kept_answers_max = KEPT_ANSWERS_MAX,
                                   .kept_answer_us = KEPT_ANSWER_LIFETIME,
                                   .echo_us = ECHO_LIFETIME,
                                   .ramp_us = agent->params.ramp_us,
                                   .seed = kq_random_next (&agent->random) };
   memcpy (params.echo_key, agent->params.echo_key, sizeof params.echo_key);
+  for (unsigned i = 0; i < service->worth_count && i < KQ_REQUEST_CLASSES_MAX; i++)
+    {
+      KqRequestClass *class_of_requests = &params.classes[params.class_count++];
+      memcpy (class_of_requests->name, service->worths[i].class_name, KQ_NAME_BYTES);
+      class_of_requests->worth = service->worths[i].worth;
+    }
+  return params;
+}
+
+static KqRequestGuard *
+make_guard (KqAgent *agent)
+{
+  static const KqRequestGuardOps ops = { .to_target = send_to_target,
+                                         .to_caller = send_answer,
+                                         .finished = request_finished };
+  KqRequestGuardParams params = guard_params (agent);
   return kq_request_guard_new (agent->life, &params, &ops, agent);
 }
 
@@ -309,6 +323,6 @@
 void
 kq_agent_limits_apply (KqAgent *agent)
 {
-  kq_request_guard_set_limits (agent->guard, agent->service.slots,
-                               agent->service.deadline_ms * KQ_MS, kq_clock_now ());
+  KqRequestGuardParams params = guard_params (agent);
+  kq_request_guard_set_limits (agent->guard, &params, kq_clock_now ());
 }
--- a/src/request/request_cost.c
+++ b/src/request/request_cost.c
@@ -6,27 +6,48 @@
 #define MIN_SERVICE_US     1.0
 #define SAMPLE_WEIGHT      0.05 /* of a new sample in the moving average */
 
+static unsigned
+named_classes (const KqRequestGuardParams *params)
+{
+  return params->class_count < KQ_REQUEST_CLASSES_MAX ? params->class_count
+                                                      : KQ_REQUEST_CLASSES_MAX;
+}
+
+static void
+set_class (KqRequestCosts *costs, unsigned index, const KqRequestClass *class_of_requests)
+{
+  memcpy (costs->names[index], class_of_requests->name, KQ_NAME_BYTES);
+  costs->names[index][KQ_NAME_BYTES - 1] = '\0';
+  costs->worth[index] = class_of_requests->worth;
+}
+
 void
 kq_request_costs_init (KqRequestCosts *costs, const KqRequestGuardParams *params)
 {
-  bool flat = (params->disable & KQ_DISABLE_WORTH) != 0;
   memset (costs, 0, sizeof *costs);
-  unsigned named =
-      params->class_count < KQ_REQUEST_CLASSES_MAX ? params->class_count : KQ_REQUEST_CLASSES_MAX;
+  costs->count = 1;
+  costs->service_us[0] = INITIAL_SERVICE_US;
+  kq_request_costs_set_classes (costs, params);
+}
+
+/* The index of a request in a queue may point to another class for as long as it waits. */
+void
+kq_request_costs_set_classes (KqRequestCosts *costs, const KqRequestGuardParams *params)
+{
+  KqRequestCosts old = *costs;
+  bool flat = (params->disable & KQ_DISABLE_WORTH) != 0;
+  unsigned named = named_classes (params);
+  for (unsigned i = 0; i <= KQ_REQUEST_CLASSES_MAX; i++)
+    costs->service_us[i] = old.service_us[old.count - 1];
   for (unsigned i = 0; i < named; i++)
     {
-      memcpy (costs->names[i], params->classes[i].name, KQ_NAME_BYTES);
-      costs->names[i][KQ_NAME_BYTES - 1] = '\0';
-      costs->worth[i] = params->classes[i].worth;
+      set_class (costs, i, &params->classes[i]);
+      costs->service_us[i] = old.service_us[kq_request_costs_class (&old, costs->names[i])];
     }
   costs->worth[named] = params->default_worth > 0 ? params->default_worth : 1;
   costs->count = named + 1;
-  for (unsigned i = 0; i < costs->count; i++)
-    {
-      costs->service_us[i] = INITIAL_SERVICE_US;
-      if (flat)
-        costs->worth[i] = 1;
-    }
+  for (unsigned i = 0; flat && i < costs->count; i++)
+    costs->worth[i] = 1;
 }
 
 unsigned
--- a/src/request/request_guard.c
+++ b/src/request/request_guard.c
@@ -161,6 +161,21 @@
   kq_guard_fill (guard, now);
 }
 
+void
+kq_request_guard_set_limits (KqRequestGuard *guard, const KqRequestGuardParams *limits, KqTime now)
+{
+  KqRequestGuardParams *params = &guard->params;
+  params->slots = limits->slots;
+  params->queue_max = limits->queue_max;
+  params->deadline_us = limits->deadline_us;
+  params->class_count = limits->class_count;
+  params->default_worth = limits->default_worth;
+  memcpy (params->classes, limits->classes, sizeof params->classes);
+  guard->queue.max = limits->queue_max;
+  kq_request_costs_set_classes (&guard->costs, params);
+  kq_guard_fill (guard, now);
+}
+
 void
 kq_request_guard_rotate_echo_key (KqRequestGuard *guard, const uint8_t key[32])
 {
--- a/tests/unit/test_request_guard.c
+++ b/tests/unit/test_request_guard.c
@@ -393,6 +393,26 @@
   talloc_free (fixture.guard);
 }
 
+static void
+test_more_slots_take_waiting_requests (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  params.slots = 1;
+  setup (&fixture, &params);
+  KqCoapMessage first = make_request (&fixture, KQ_COAP_GET, 1);
+  KqCoapMessage second = make_request (&fixture, KQ_COAP_GET, 2);
+  from_caller (&fixture, &first);
+  from_caller (&fixture, &second);
+  CU_ASSERT (fixture.target.count == 1);
+  params.slots = 2;
+  kq_request_guard_set_limits (fixture.guard, &params, fixture.now);
+  CU_ASSERT (fixture.target.count == 2);
+  answer (&fixture, 0, KQ_COAP_CONTENT, "one");
+  expect_last (&fixture, KQ_COAP_CONTENT, "one");
+  talloc_free (fixture.guard);
+}
+
 int
 main (void)
 {
@@ -407,6 +427,7 @@
     { "a refused request never runs later", test_refused_request_never_runs_later },
     { "a late answer goes to its own request", test_late_answer_goes_to_its_own_request_only },
     { "crossed answers", test_crossed_answers },
+    { "more slots take waiting requests", test_more_slots_take_waiting_requests },
   };
   return kq_unit_run ("request guard", tests, sizeof tests / sizeof tests[0]);
 }
