--- a/include/kumquat/coap_message.h
+++ b/include/kumquat/coap_message.h
@@ -28,6 +28,7 @@
 #define KQ_COAP_POST                2
 #define KQ_COAP_PUT                 3
 #define KQ_COAP_DELETE              4
+#define KQ_COAP_PATCH               6
 #define KQ_COAP_CREATED             KQ_COAP_CODE (2, 1)
 #define KQ_COAP_CHANGED             KQ_COAP_CODE (2, 4)
 #define KQ_COAP_CONTENT             KQ_COAP_CODE (2, 5)
@@ -164,3 +165,18 @@
  */
 int kq_coap_rewrite (const uint8_t *bytes, size_t size, const KqCoapRewrite *rewrite, uint8_t *out,
                      size_t capacity);
+
+/**
+ * kq_coap_shrink_deadline - writes a request again with the time that is left for it
+ * @bytes: (borrowed): a request that kq_coap_message_parse() accepted
+ * @size: bytes at @bytes
+ * @elapsed_us: time since the request was received here
+ * @default_us: deadline of a request that states none
+ * @out: (out): room for the result; must not overlap @bytes
+ * @capacity: bytes at @out
+ *
+ * Return: the number of bytes written, 0 when no time is left, or -1 when they do not fit or @bytes
+ * is malformed.
+ */
+int kq_coap_shrink_deadline (const uint8_t *bytes, size_t size, KqTime elapsed_us,
+                             KqTime default_us, uint8_t *out, size_t capacity);
--- a/src/request/coap_message.c
+++ b/src/request/coap_message.c
@@ -295,3 +295,25 @@
   kq_coap_writer_payload (&writer, bytes + reader.offset, size - reader.offset);
   return kq_coap_writer_finish (&writer);
 }
+
+int
+kq_coap_shrink_deadline (const uint8_t *bytes, size_t size, KqTime elapsed_us, KqTime default_us,
+                         uint8_t *out, size_t capacity)
+{
+  KqCoapMessage message;
+  uint32_t stated_ms;
+  if (kq_coap_message_parse (bytes, size, &message, NULL) < 0)
+    return -1;
+  KqTime left_us = default_us - elapsed_us;
+  if (kq_coap_query_number (&message, KQ_COAP_QUERY_DEADLINE, &stated_ms))
+    left_us = stated_ms * KQ_MS - elapsed_us;
+  if (left_us < KQ_MS)
+    return 0;
+  KqCoapRewrite rewrite = { .type = message.type,
+                            .message_id = message.message_id,
+                            .token_size = message.token_size,
+                            .set_deadline = true };
+  rewrite.deadline_ms = left_us / KQ_MS > UINT32_MAX ? UINT32_MAX : (uint32_t)(left_us / KQ_MS);
+  memcpy (rewrite.token, message.token, sizeof rewrite.token);
+  return kq_coap_rewrite (bytes, size, &rewrite, out, capacity);
+}
--- a/tests/unit/test_coap_message.c
+++ b/tests/unit/test_coap_message.c
@@ -137,6 +137,30 @@
   CU_ASSERT (kq_coap_message_format (&sent, bytes, sizeof bytes) == -1);
 }
 
+static void
+test_deadline_shrinks_on_each_hop (void)
+{
+  uint8_t bytes[KQ_DATAGRAM_BYTES];
+  uint8_t hop[KQ_DATAGRAM_BYTES];
+  uint8_t next[KQ_DATAGRAM_BYTES];
+  KqCoapMessage sent = sample ();
+  KqCoapMessage got;
+  int size = kq_coap_message_format (&sent, bytes, sizeof bytes);
+  size = kq_coap_shrink_deadline (bytes, (size_t)size, 300 * KQ_MS, 0, hop, sizeof hop);
+  CU_ASSERT_FATAL (size > 0);
+  int again = kq_coap_shrink_deadline (hop, (size_t)size, 200 * KQ_MS, 0, next, sizeof next);
+  CU_ASSERT_FATAL (again > 0);
+  CU_ASSERT_FATAL (kq_coap_message_parse (next, (size_t)again, &got, NULL) == 0);
+  CU_ASSERT_STRING_EQUAL (got.query, "class=mark&deadline=1000");
+  CU_ASSERT (got.message_id == sent.message_id && got.echo_size == sent.echo_size);
+  CU_ASSERT (kq_coap_shrink_deadline (next, (size_t)again, KQ_SECOND, 0, hop, sizeof hop) == 0);
+  sent.query[0] = '\0';
+  size = kq_coap_message_format (&sent, bytes, sizeof bytes);
+  size = kq_coap_shrink_deadline (bytes, (size_t)size, KQ_SECOND, 3 * KQ_SECOND, hop, sizeof hop);
+  CU_ASSERT_FATAL (size > 0 && kq_coap_message_parse (hop, (size_t)size, &got, NULL) == 0);
+  CU_ASSERT_STRING_EQUAL (got.query, "deadline=2000");
+}
+
 int
 main (void)
 {
@@ -146,6 +170,7 @@
     { "query parameters", test_query_parameters },
     { "malformed is refused", test_malformed_is_refused },
     { "unknown options", test_unknown_options },
+    { "the deadline shrinks on each hop", test_deadline_shrinks_on_each_hop },
     { "format refuses overflow", test_format_refuses_overflow },
   };
   return kq_unit_run ("coap message", tests, sizeof tests / sizeof tests[0]);
--- /dev/null
+++ b/tests/unit/test_retry_budget.c
@@ -0,0 +1,101 @@
+#include <CUnit/Basic.h>
+
+#include "kumquat/coap_message.h"
+#include "kumquat/random.h"
+#include "kumquat/retry_budget.h"
+#include "unit.h"
+
+static void
+test_starts_without_allowance (void)
+{
+  KqRetryBudget budget;
+  kq_retry_budget_init (&budget, 100);
+  CU_ASSERT (!kq_retry_budget_take (&budget, 0));
+  for (unsigned i = 0; i < 9; i++)
+    kq_retry_budget_request (&budget, 0);
+  CU_ASSERT (!kq_retry_budget_take (&budget, 0));
+  kq_retry_budget_request (&budget, 0);
+  CU_ASSERT (kq_retry_budget_take (&budget, 0));
+  CU_ASSERT (!kq_retry_budget_take (&budget, 0));
+}
+
+static void
+test_old_requests_allow_nothing (void)
+{
+  KqRetryBudget budget;
+  kq_retry_budget_init (&budget, 100);
+  for (unsigned i = 0; i < 1000; i++)
+    kq_retry_budget_request (&budget, 5 * KQ_SECOND);
+  CU_ASSERT (kq_retry_budget_take (&budget, 14 * KQ_SECOND));
+  CU_ASSERT (!kq_retry_budget_take (&budget, 15 * KQ_SECOND));
+  CU_ASSERT (!kq_retry_budget_take (&budget, 1000 * KQ_SECOND));
+  CU_ASSERT (!kq_retry_budget_take (&budget, 20 * KQ_SECOND)); /* a clock that went back */
+}
+
+/* Two layers in a row, every request fails, bursts: at most 1.1 times the offered load arrives. */
+static void
+test_layers_stay_below_target (void)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      KqRetryBudget caller;
+      KqRetryBudget agent;
+      KqRandom random;
+      uint64_t offered = 0;
+      uint64_t arrived = 0;
+      kq_retry_budget_init (&caller, KQ_RETRY_CALLER_PERMILLE);
+      kq_retry_budget_init (&agent, KQ_RETRY_AGENT_PERMILLE);
+      kq_random_seed (&random, seed);
+      KqTime now = 0;
+      for (unsigned i = 0; i < 20000; i++)
+        {
+          now += (KqTime)kq_random_below (&random, i % 4000 < 2000 ? 300 : 30000);
+          unsigned attempts = 1;
+          kq_retry_budget_request (&caller, now);
+          while (attempts < 4 && kq_retry_budget_take (&caller, now))
+            attempts++;
+          for (unsigned k = 0; k < attempts; k++)
+            {
+              kq_retry_budget_request (&agent, now);
+              arrived += 1 + kq_retry_budget_take (&agent, now);
+            }
+          offered++;
+          CU_ASSERT (10 * arrived <= 11 * offered);
+        }
+      CU_ASSERT (arrived > offered); /* some retries do get through */
+    }
+}
+
+static void
+test_verdicts (void)
+{
+  CU_ASSERT (kq_retry_verdict (KQ_COAP_POST, KQ_COAP_SERVICE_UNAVAILABLE) == KQ_RETRY_NEW);
+  CU_ASSERT (kq_retry_verdict (KQ_COAP_POST, KQ_COAP_GATEWAY_TIMEOUT) == KQ_RETRY_NEVER);
+  CU_ASSERT (kq_retry_verdict (KQ_COAP_POST, 0) == KQ_RETRY_NEVER);
+  CU_ASSERT (kq_retry_verdict (KQ_COAP_PATCH, 0) == KQ_RETRY_NEVER);
+  CU_ASSERT (kq_retry_verdict (KQ_COAP_GET, 0) == KQ_RETRY_SAME);
+  CU_ASSERT (kq_retry_verdict (KQ_COAP_PUT, KQ_COAP_GATEWAY_TIMEOUT) == KQ_RETRY_SAME);
+  CU_ASSERT (kq_retry_verdict (KQ_COAP_GET, KQ_COAP_NOT_FOUND) == KQ_RETRY_NEVER);
+}
+
+static void
+test_delays_end_before_the_deadline (void)
+{
+  CU_ASSERT (kq_retry_delay_us (2, 1, 0.0, 3 * KQ_SECOND) == 2 * KQ_SECOND);
+  CU_ASSERT (kq_retry_delay_us (2, 1, 0.5, 3 * KQ_SECOND) > 2 * KQ_SECOND);
+  CU_ASSERT (kq_retry_delay_us (3, 1, 0.0, 3 * KQ_SECOND) == KQ_NEVER);
+  CU_ASSERT (kq_retry_delay_us (0, 1000, 0.99, KQ_NEVER) < 4 * KQ_SECOND);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "starts without allowance", test_starts_without_allowance },
+    { "old requests allow nothing", test_old_requests_allow_nothing },
+    { "two layers stay below 1.1 times", test_layers_stay_below_target },
+    { "verdicts", test_verdicts },
+    { "delays end before the deadline", test_delays_end_before_the_deadline },
+  };
+  return kq_unit_run ("retry budget", tests, sizeof tests / sizeof tests[0]);
+}
