--- a/include/kumquat/internal/guard.h
+++ b/include/kumquat/internal/guard.h
@@ -133,10 +133,13 @@
 
 /* src/request/guard_answer.c: towards callers. */
 
+/** kq_guard_return_path - Return: how to answer a message that was just received */
+KqReturnPath kq_guard_return_path (const KqCoapMessage *message);
+
 /** kq_guard_reply - answers a datagram at once with an answer that has no body */
 void kq_guard_reply (KqRequestGuard *guard, const KqArrival *arrival, uint8_t code);
 
-/** kq_guard_reply_refused - says that the request did not run and will not: 5.03 with Max-Age */
+/** kq_guard_reply_refused - answers a request that is not sent on, see kq_guard_decline() */
 void kq_guard_reply_refused (KqRequestGuard *guard, const KqArrival *arrival);
 
 /** kq_guard_reply_unknown - says that the request may have run: 5.04 */
@@ -163,16 +166,24 @@
 void kq_guard_notify (KqRequestGuard *guard, KqExchange *exchange, KqCoapType type,
                       const uint8_t *bytes, size_t size, KqTime now);
 
-/** kq_guard_refusal - writes a refusal for @back; Return: its size */
-size_t kq_guard_refusal (const KqReturnPath *back, uint32_t max_age,
+/**
+ * kq_guard_decline - writes the answer to a request that is not sent to the target, and counts it
+ * @code: request method
+ *
+ * That is 5.03, "not run". Copies of an idempotent request that changes state are not remembered,
+ * and an earlier one may have run, so it gets 5.04, which lets its caller send it again as well.
+ *
+ * Return: the size of the answer.
+ */
+size_t kq_guard_decline (KqRequestGuard *guard, uint8_t code, const KqReturnPath *back,
                          uint8_t bytes[KQ_DATAGRAM_BYTES]);
 
+/** kq_guard_end_of_feed - writes the last notification of a closed flow; Return: its size */
+size_t kq_guard_end_of_feed (const KqReturnPath *back, uint8_t bytes[KQ_DATAGRAM_BYTES]);
+
 /** kq_guard_unknown - writes "outcome unknown" for @back; Return: its size */
 size_t kq_guard_unknown (const KqReturnPath *back, uint8_t bytes[KQ_DATAGRAM_BYTES]);
 
-/** kq_guard_max_age - Return: seconds after which a refused caller may try again */
-uint32_t kq_guard_max_age (KqRequestGuard *guard);
-
 /* src/request/guard_exchange.c: life of one request. */
 
 /** kq_guard_usable - Return: slots that may be used now, at least 1 */
--- a/src/request/guard_answer.c
+++ b/src/request/guard_answer.c
@@ -10,8 +10,8 @@
   return &guard->caller_mids[kq_flow_key_hash (key) % KQ_GUARD_MID_COUNTERS];
 }
 
-static KqReturnPath
-return_path (const KqCoapMessage *message)
+KqReturnPath
+kq_guard_return_path (const KqCoapMessage *message)
 {
   KqReturnPath back = { .type = message->type,
                         .message_id = message->message_id,
@@ -90,35 +90,50 @@
   return (size_t)kq_coap_message_format (message, bytes, KQ_DATAGRAM_BYTES);
 }
 
+static uint32_t
+max_age (KqRequestGuard *guard)
+{
+  if (kq_kept_answers_full (guard->kept))
+    return FULL_MAX_AGE_S;
+  return 1 + (uint32_t)kq_random_below (&guard->random, 2);
+}
+
 size_t
-kq_guard_refusal (const KqReturnPath *back, uint32_t max_age, uint8_t bytes[KQ_DATAGRAM_BYTES])
+kq_guard_decline (KqRequestGuard *guard, uint8_t code, const KqReturnPath *back,
+                  uint8_t bytes[KQ_DATAGRAM_BYTES])
 {
   KqCoapMessage message = { .code = KQ_COAP_SERVICE_UNAVAILABLE,
                             .max_age_present = true,
-                            .max_age = max_age };
+                            .max_age = max_age (guard) };
+  if (kq_method (code) == KQ_METHOD_IDEMPOTENT)
+    {
+      message.code = KQ_COAP_GATEWAY_TIMEOUT;
+      guard->stats.outcome_unknown++;
+    }
+  else
+    guard->stats.refused_not_run++;
   return format_answer (back, &message, bytes);
 }
 
 size_t
-kq_guard_unknown (const KqReturnPath *back, uint8_t bytes[KQ_DATAGRAM_BYTES])
+kq_guard_end_of_feed (const KqReturnPath *back, uint8_t bytes[KQ_DATAGRAM_BYTES])
 {
-  KqCoapMessage message = { .code = KQ_COAP_GATEWAY_TIMEOUT };
+  KqCoapMessage message = { .code = KQ_COAP_SERVICE_UNAVAILABLE, .max_age_present = true };
   return format_answer (back, &message, bytes);
 }
 
-uint32_t
-kq_guard_max_age (KqRequestGuard *guard)
+size_t
+kq_guard_unknown (const KqReturnPath *back, uint8_t bytes[KQ_DATAGRAM_BYTES])
 {
-  if (kq_kept_answers_full (guard->kept))
-    return FULL_MAX_AGE_S;
-  return 1 + (uint32_t)kq_random_below (&guard->random, 2);
+  KqCoapMessage message = { .code = KQ_COAP_GATEWAY_TIMEOUT };
+  return format_answer (back, &message, bytes);
 }
 
 void
 kq_guard_reply (KqRequestGuard *guard, const KqArrival *arrival, uint8_t code)
 {
   uint8_t bytes[KQ_DATAGRAM_BYTES];
-  KqReturnPath back = return_path (arrival->message);
+  KqReturnPath back = kq_guard_return_path (arrival->message);
   KqCoapMessage message = { .code = code };
   size_t size = format_answer (&back, &message, bytes);
   kq_guard_respond (guard, arrival->key, &back, bytes, size, arrival->now);
@@ -128,9 +143,8 @@
 kq_guard_reply_refused (KqRequestGuard *guard, const KqArrival *arrival)
 {
   uint8_t bytes[KQ_DATAGRAM_BYTES];
-  KqReturnPath back = return_path (arrival->message);
-  size_t size = kq_guard_refusal (&back, kq_guard_max_age (guard), bytes);
-  guard->stats.refused_not_run++;
+  KqReturnPath back = kq_guard_return_path (arrival->message);
+  size_t size = kq_guard_decline (guard, arrival->message->code, &back, bytes);
   kq_guard_respond (guard, arrival->key, &back, bytes, size, arrival->now);
   guard->ops.finished (arrival->key, 0, false, guard->data);
 }
@@ -147,7 +161,7 @@
 kq_guard_reply_challenge (KqRequestGuard *guard, const KqArrival *arrival)
 {
   uint8_t bytes[KQ_DATAGRAM_BYTES];
-  KqReturnPath back = return_path (arrival->message);
+  KqReturnPath back = kq_guard_return_path (arrival->message);
   KqCoapMessage message = { .code = KQ_COAP_UNAUTHORIZED, .echo_size = KQ_ECHO_VALUE_BYTES };
   kq_echo_make (&guard->echo, arrival->key, arrival->now, message.echo);
   guard->stats.challenged++;
@@ -158,7 +172,7 @@
 void
 kq_guard_reply_kept (KqRequestGuard *guard, const KqArrival *arrival, const KqKeptAnswer *kept)
 {
-  KqReturnPath back = return_path (arrival->message);
+  KqReturnPath back = kq_guard_return_path (arrival->message);
   guard->stats.repeats_answered++;
   if (kept->answer == NULL)
     kq_guard_reply (guard, arrival, KQ_COAP_GATEWAY_TIMEOUT);
--- a/src/request/guard_caller.c
+++ b/src/request/guard_caller.c
@@ -121,18 +121,15 @@
 static void
 refuse_for_good (KqRequestGuard *guard, const KqArrival *arrival, KqKeptAnswer *kept)
 {
-  const KqCoapMessage *message = arrival->message;
   uint8_t bytes[KQ_DATAGRAM_BYTES];
-  KqReturnPath back = { .token_size = message->token_size };
-  memcpy (back.token, message->token, sizeof back.token);
+  KqReturnPath back = kq_guard_return_path (arrival->message);
+  size_t size = kq_guard_decline (guard, arrival->message->code, &back, bytes);
   if (kept != NULL)
-    {
-      size_t size = kq_guard_refusal (&back, kq_guard_max_age (guard), bytes);
-      kq_kept_answers_settle (guard->kept, kept, KQ_KEPT_REFUSED, bytes, size, arrival->now);
-    }
+    kq_kept_answers_settle (guard->kept, kept, KQ_KEPT_REFUSED, bytes, size, arrival->now);
   else if ((guard->params.disable & KQ_DISABLE_KEPT_REFUSALS) == 0)
     guard->echo_floor = arrival->now;
-  kq_guard_reply_refused (guard, arrival);
+  kq_guard_respond (guard, arrival->key, &back, bytes, size, arrival->now);
+  guard->ops.finished (arrival->key, 0, false, guard->data);
 }
 
 static KqKeptAnswer *
@@ -346,10 +343,8 @@
     kq_guard_reply (guard, &arrival, KQ_COAP_BAD_OPTION);
   else if (handle_repeat (guard, &arrival, &target_token))
     return;
-  else if (method == KQ_METHOD_SAFE || (method == KQ_METHOD_GUARDED && message.echo_size == 0))
+  else if (method != KQ_METHOD_GUARDED || message.echo_size == 0)
     kq_guard_reply_refused (guard, &arrival);
-  else if (method == KQ_METHOD_IDEMPOTENT)
-    kq_guard_reply_unknown (guard, &arrival);
   else if (may_run (guard, &arrival))
     refuse_for_good (guard, &arrival, reserve_entry (guard, &arrival));
 }
--- a/src/request/guard_exchange.c
+++ b/src/request/guard_exchange.c
@@ -106,8 +106,7 @@
 refuse_unsent (KqRequestGuard *guard, KqExchange *exchange, KqTime now)
 {
   uint8_t bytes[KQ_DATAGRAM_BYTES];
-  size_t size = kq_guard_refusal (&exchange->back, kq_guard_max_age (guard), bytes);
-  guard->stats.refused_not_run++;
+  size_t size = kq_guard_decline (guard, exchange->code, &exchange->back, bytes);
   kq_guard_settle (guard, exchange, KQ_KEPT_REFUSED, bytes, size, now);
   kq_guard_respond (guard, &exchange->key, &exchange->back, bytes, size, now);
   guard->ops.finished (&exchange->key, now - exchange->arrived, false, guard->data);
--- a/src/request/request_guard.c
+++ b/src/request/request_guard.c
@@ -146,7 +146,7 @@
       if (kq_flow_key_equal (&exchange->key, key))
         {
           uint8_t bytes[KQ_DATAGRAM_BYTES];
-          size_t size = kq_guard_refusal (&exchange->back, 0, bytes);
+          size_t size = kq_guard_end_of_feed (&exchange->back, bytes);
           kq_guard_notify (guard, exchange, KQ_COAP_NON, bytes, size, now);
           kq_guard_end_observation (guard, exchange, true);
         }
