Intents and plans as pure decisions

Cause: operators state what they want and must see what it does before it takes effect. A plan is one canonical JSON document with a BLAKE2b digest: base revisions, field differences, targets, buckets that change their home, flows, requests, capacity by failure domain, warnings, refusals with their remedy, and the exact writes. One index document for numbers was ruled out, because two unrelated creates would clash on it: numbers are random, and each name and port is claimed by a key of its own. Weights that operators set now reach the routing through the service view.

--- /dev/null
+++ b/src/version/plan_effects.c
@@ -0,0 +1,333 @@
+/* What a change of one service does to its targets, flows and failure domains. */
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/plan_parts.h"
+#include "kumquat/routing.h"
+
+#define NOTE_BYTES     256
+#define IN_FORCE_MS    9000 /* a confirmed change is in force everywhere within this */
+#define CAPACITY_LEAST 50   /* percent of the slots below which a plan warns */
+
+/**
+ * struct Side - the service's targets before or after the change
+ * @targets: (array): its targets with their weights
+ * @count: length of @targets
+ * @homes: (array): id of each bucket's home
+ */
+typedef struct
+{
+  KqMember *targets;
+  unsigned count;
+  uint64_t homes[KQ_BUCKETS];
+} Side;
+
+void
+kq_plan_warn (KqPlanNotes *notes, const char *service, const char *format, ...)
+{
+  char text[NOTE_BYTES];
+  va_list args;
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  json_array_append_new (notes->warnings,
+                         json_pack ("{s:s, s:s}", "service", service, "what", text));
+}
+
+void
+kq_plan_refuse (KqPlanNotes *notes, const char *service, const char *what, const char *remedy)
+{
+  json_array_append_new (notes->refusals, json_pack ("{s:s, s:s, s:s}", "service", service, "what",
+                                                     what, "remedy", remedy));
+}
+
+static bool
+takes_flows (const KqService *service, const KqMember *target)
+{
+  return !service->removed && target->phase == KQ_PHASE_SERVING &&
+         target->state <= KQ_MEMBER_SUSPECT && kq_service_admits (service, target);
+}
+
+static void
+fill_side (const void *parent, const KqPlanInput *input, const KqService *service, Side *side)
+{
+  side->targets = talloc_array (parent, KqMember, input->member_count + 1);
+  for (unsigned i = 0; i < input->member_count; i++)
+    {
+      const KqMember *member = &input->members[i];
+      if (member->role != KQ_ROLE_AGENT || member->service != service->number)
+        continue;
+      side->targets[side->count] = *member;
+      side->targets[side->count].weight = (uint16_t)kq_service_weight (service, member);
+      side->count++;
+    }
+  KqServiceView view = { .service = service, .targets = side->targets, .count = side->count };
+  KqRouting *routing = kq_routing_new (parent, &view);
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    {
+      KqPeer candidates[KQ_CANDIDATES_MAX];
+      unsigned found = kq_routing_candidates (routing, i, candidates);
+      side->homes[i] = found == 0 ? 0 : candidates[0].id;
+    }
+}
+
+static unsigned
+buckets_of (const Side *side, uint64_t id)
+{
+  unsigned count = 0;
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    count += side->homes[i] == id;
+  return count;
+}
+
+static const KqTargetWork *
+work_of (const KqPlanInput *input, const char *name)
+{
+  for (unsigned i = 0; i < input->work_count; i++)
+    if (strcmp (input->work[i].name, name) == 0)
+      return &input->work[i];
+  return NULL;
+}
+
+static const char *
+effect_name (bool before, bool after)
+{
+  if (before && !after)
+    return "drains";
+  if (!before && after)
+    return "joins";
+  return after ? "stays" : "takes no new flows";
+}
+
+static json_t *
+targets_json (const KqPlanInput *input, const KqPlanChange *change, const Side *before,
+              const Side *after)
+{
+  json_t *list = json_array ();
+  for (unsigned i = 0; i < after->count; i++)
+    {
+      const KqMember *target = &after->targets[i];
+      const KqTargetWork *work = work_of (input, target->name);
+      bool took = change->base != NULL && takes_flows (&change->base->service, target);
+      json_t *item =
+          json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i}", "name", target->name, "failure_domain",
+                     target->failure_domain, "effect",
+                     effect_name (took, takes_flows (&change->after, target)), "buckets_before",
+                     (int)buckets_of (before, target->peer.id), "buckets_after",
+                     (int)buckets_of (after, target->peer.id), "weight", (int)target->weight);
+      json_object_set_new (item, "flows",
+                           work == NULL ? json_null () : json_integer ((json_int_t)work->flows));
+      json_object_set_new (
+          item, "requests",
+          work == NULL ? json_null ()
+                       : json_integer ((json_int_t)work->running + (json_int_t)work->waiting));
+      json_array_append_new (list, item);
+    }
+  return list;
+}
+
+static unsigned
+slots_in (const Side *side, const KqService *service, const char *failure_domain)
+{
+  unsigned slots = 0;
+  for (unsigned i = 0; i < side->count; i++)
+    {
+      const KqMember *target = &side->targets[i];
+      if ((failure_domain == NULL || strcmp (target->failure_domain, failure_domain) == 0) &&
+          takes_flows (service, target))
+        slots += service->slots;
+    }
+  return slots;
+}
+
+static bool
+is_first_of_domain (const Side *side, unsigned index)
+{
+  for (unsigned i = 0; i < index; i++)
+    if (strcmp (side->targets[i].failure_domain, side->targets[index].failure_domain) == 0)
+      return false;
+  return true;
+}
+
+static json_t *
+capacity_json (const KqPlanChange *change, const Side *before, const Side *after,
+               KqPlanNotes *notes)
+{
+  static const KqService none = { .removed = true };
+  const KqService *old_service = change->base == NULL ? &none : &change->base->service;
+  json_t *list = json_array ();
+  for (unsigned i = 0; i < after->count; i++)
+    {
+      const char *domain = after->targets[i].failure_domain;
+      if (!is_first_of_domain (after, i))
+        continue;
+      unsigned old_slots = slots_in (before, old_service, domain);
+      unsigned new_slots = slots_in (after, &change->after, domain);
+      json_array_append_new (list,
+                             json_pack ("{s:s, s:i, s:i}", "failure_domain", domain, "slots_before",
+                                        (int)old_slots, "slots_after", (int)new_slots));
+      if (old_slots > 0 && new_slots == 0 && !change->after.removed)
+        kq_plan_warn (notes, change->after.name, "failure domain %s is left with no capacity",
+                      domain);
+    }
+  return list;
+}
+
+/**
+ * struct Totals - work of a service's targets, as far as their agents told
+ * @unknown: targets whose agent did not answer
+ */
+typedef struct
+{
+  uint64_t flows;
+  uint64_t running;
+  uint64_t waiting;
+  uint64_t most_flows;
+  unsigned unknown;
+} Totals;
+
+static Totals
+total_work (const KqPlanInput *input, const Side *side)
+{
+  Totals totals = { 0 };
+  for (unsigned i = 0; i < side->count; i++)
+    {
+      const KqTargetWork *work = work_of (input, side->targets[i].name);
+      if (work == NULL)
+        {
+          totals.unknown++;
+          continue;
+        }
+      totals.flows += work->flows;
+      totals.running += work->running;
+      totals.waiting += work->waiting;
+      if (work->flows > totals.most_flows)
+        totals.most_flows = work->flows;
+    }
+  return totals;
+}
+
+static void
+check_open_flows (const KqPlanChange *change, const Totals *totals, KqPlanNotes *notes)
+{
+  const KqService *before = &change->base->service;
+  const KqService *after = &change->after;
+  if (totals->flows == 0 && totals->unknown == 0)
+    return;
+  if (after->removed)
+    kq_plan_refuse (notes, after->name, "removing the service would break its open flows",
+                    "let its callers leave, then plan again when every target has 0 flows");
+  else if (before->port != after->port)
+    kq_plan_refuse (notes, after->name, "another port would break the service's open flows",
+                    "create a second service on the new port, let callers move, then remove this "
+                    "one");
+  else if (before->protocol != after->protocol)
+    kq_plan_refuse (notes, after->name, "another protocol would change the promises of open flows",
+                    "create a second service with the new protocol, let callers move, then remove "
+                    "this one");
+}
+
+static void
+check_capacity (const KqPlanChange *change, const Side *before, const Side *after,
+                const Totals *totals, KqPlanNotes *notes)
+{
+  const KqService *service = &change->after;
+  unsigned old_slots = slots_in (before, &change->base->service, NULL);
+  unsigned new_slots = slots_in (after, service, NULL);
+  if (service->removed)
+    return;
+  if (old_slots > 0 && new_slots == 0)
+    kq_plan_refuse (notes, service->name, "no target would be left to take new flows",
+                    "let another target join first, or drain fewer at once");
+  else if ((uint64_t)new_slots * 100 < (uint64_t)old_slots * CAPACITY_LEAST)
+    kq_plan_warn (notes, service->name, "capacity falls from %u to %u slots", old_slots, new_slots);
+  if (new_slots > 0 && totals->running > new_slots)
+    kq_plan_warn (notes, service->name,
+                  "%" PRIu64 " requests run now and %u slots stay: new ones will wait",
+                  totals->running, new_slots);
+  if (totals->most_flows > service->connections)
+    kq_plan_warn (notes, service->name,
+                  "a target holds %" PRIu64 " flows, above connections %" PRIu32
+                  ": they stay, new ones are refused there",
+                  totals->most_flows, service->connections);
+  if (totals->unknown > 0)
+    kq_plan_warn (notes, service->name, "%u agents did not tell their flows", totals->unknown);
+}
+
+/* Return: the longest drain in milliseconds; 0 without a drain, -1 without a limit. */
+static int64_t
+check_drains (const KqPlanInput *input, const KqPlanChange *change, const Side *after,
+              KqPlanNotes *notes)
+{
+  int64_t longest_ms = 0;
+  for (unsigned i = 0; i < after->count; i++)
+    {
+      const KqMember *target = &after->targets[i];
+      const KqTargetWork *work = work_of (input, target->name);
+      if (!takes_flows (&change->base->service, target) || takes_flows (&change->after, target) ||
+          change->after.removed)
+        continue;
+      uint32_t limit_ms = kq_service_drain_limit_ms (&change->after, target);
+      if (limit_ms == 0)
+        {
+          longest_ms = -1;
+          continue;
+        }
+      if (longest_ms >= 0 && limit_ms > longest_ms)
+        longest_ms = limit_ms;
+      if (limit_ms < change->after.deadline_ms)
+        kq_plan_refuse (notes, change->after.name,
+                        "the drain limit is shorter than the deadline of requests in progress",
+                        "use a drain limit of at least deadline_ms");
+      else if (work != NULL && work->flows > 0)
+        kq_plan_warn (notes, change->after.name,
+                      "%s: flows still open after %" PRIu32 " ms are closed; %" PRIu64
+                      " are open now",
+                      target->name, limit_ms, work->flows);
+    }
+  return longest_ms;
+}
+
+static unsigned
+count_moved (const Side *before, const Side *after)
+{
+  unsigned moved = 0;
+  for (unsigned i = 0; i < KQ_BUCKETS; i++)
+    moved += before->homes[i] != 0 && before->homes[i] != after->homes[i];
+  return moved;
+}
+
+json_t *
+kq_plan_effects (const KqPlanInput *input, const KqPlanChange *change, KqPlanNotes *notes)
+{
+  void *scratch = talloc_new (NULL);
+  Side *before = talloc_zero (scratch, Side);
+  Side *after = talloc_zero (scratch, Side);
+  int64_t drain_ms = 0;
+  if (change->base != NULL)
+    fill_side (scratch, input, &change->base->service, before);
+  fill_side (scratch, input, &change->after, after);
+  Totals totals = total_work (input, after);
+  unsigned moved = count_moved (before, after);
+  if (change->base != NULL)
+    {
+      check_open_flows (change, &totals, notes);
+      check_capacity (change, before, after, &totals, notes);
+      drain_ms = check_drains (input, change, after, notes);
+    }
+  json_t *root = json_pack (
+      "{s:s, s:i, s:I, s:I, s:I, s:i, s:o, s:o}", "service", change->after.name, "buckets_moved",
+      (int)moved, "flows_open", (json_int_t)totals.flows, "flows_handed_over",
+      (json_int_t)(totals.flows * moved / KQ_BUCKETS), "requests_in_progress",
+      (json_int_t)totals.running + (json_int_t)totals.waiting, "in_force_within_ms", IN_FORCE_MS,
+      "targets", targets_json (input, change, before, after), "capacity",
+      capacity_json (change, before, after, notes));
+  json_object_set_new (root, "drain_within_ms",
+                       drain_ms < 0 ? json_null () : json_integer ((json_int_t)drain_ms));
+  talloc_free (scratch);
+  return root;
+}
--- a/src/version/service_catalog.c
+++ b/src/version/service_catalog.c
@@ -101,7 +101,11 @@
   unsigned used = 0;
   for (unsigned i = 0; i < count; i++)
     if (members[i].role == KQ_ROLE_AGENT && members[i].service == service->number)
-      targets[used++] = members[i];
+      {
+        targets[used] = members[i];
+        targets[used].weight = (uint16_t)kq_service_weight (service, &members[i]);
+        used++;
+      }
   view->service = service;
   view->targets = targets;
   view->count = used;
--- /dev/null
+++ b/tests/unit/test_plan.c
@@ -0,0 +1,316 @@
+#include <CUnit/Basic.h>
+#include <assert.h>
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/plan.h"
+#include "kumquat/service_document.h"
+#include "unit.h"
+
+#define OPERATION "00112233445566778899aabbccddeeff"
+
+/**
+ * struct Fixture - a store with the service "scoring" and its four targets
+ */
+typedef struct
+{
+  KqPlanBase bases[2];
+  KqMember members[4];
+  KqTargetWork work[4];
+  KqPlanInput input;
+} Fixture;
+
+static void
+add_target (Fixture *fixture, unsigned index, const char *failure_domain)
+{
+  KqMember *member = &fixture->members[index];
+  KqTargetWork *work = &fixture->work[index];
+  memset (member, 0, sizeof *member);
+  member->role = KQ_ROLE_AGENT;
+  member->phase = KQ_PHASE_SERVING;
+  member->service = 1;
+  member->weight = 100;
+  snprintf (member->name, sizeof member->name, "scoring-%u", index + 1);
+  snprintf (member->failure_domain, sizeof member->failure_domain, "%s", failure_domain);
+  member->peer.id = kq_hash_name (member->name);
+  snprintf (work->name, sizeof work->name, "scoring-%u", index + 1);
+  work->flows = 10;
+  work->running = 2;
+  work->waiting = 0;
+}
+
+static Fixture *
+set_up (void)
+{
+  Fixture *fixture = talloc_zero (NULL, Fixture);
+  KqService *service = &fixture->bases[0].service;
+  *service = (KqService){ .number = 1,
+                          .revision.revision = 7,
+                          .name = "scoring",
+                          .port = 5683,
+                          .slots = 5,
+                          .connections = 2000,
+                          .deadline_ms = 2000,
+                          .slo_permille = 990,
+                          .slo_latency_ms = 500 };
+  add_target (fixture, 0, "bole");
+  add_target (fixture, 1, "bole");
+  add_target (fixture, 2, "kality");
+  add_target (fixture, 3, "akaki");
+  fixture->input = (KqPlanInput){ .bases = fixture->bases,
+                                  .base_count = 1,
+                                  .members = fixture->members,
+                                  .member_count = 4,
+                                  .work = fixture->work,
+                                  .work_count = 4,
+                                  .operation = OPERATION,
+                                  .number = 500 };
+  return fixture;
+}
+
+static char *
+plan (Fixture *fixture, const char *request, KqError *error)
+{
+  KqIntentList *list = kq_intents_parse (fixture, request, strlen (request), error);
+  return list == NULL ? NULL : kq_plan_new (fixture, &fixture->input, list, error);
+}
+
+static json_t *
+plan_json (Fixture *fixture, const char *request)
+{
+  KqError error = { 0 };
+  char *text = plan (fixture, request, &error);
+  assert (text != NULL);
+  return json_loads (text, 0, NULL);
+}
+
+static const char *
+json_text (const json_t *item, const char *key)
+{
+  const char *text = json_string_value (json_object_get (item, key));
+  return text == NULL ? "" : text;
+}
+
+static const char *
+text_at (json_t *root, const char *list, unsigned index, const char *key)
+{
+  json_t *item = json_array_get (json_object_get (root, list), index);
+  return json_text (item, key);
+}
+
+static json_int_t
+effect (json_t *root, const char *key)
+{
+  json_t *item = json_array_get (json_object_get (root, "effects"), 0);
+  return json_integer_value (json_object_get (item, key));
+}
+
+static void
+test_drain_names_targets_buckets_and_capacity (void)
+{
+  Fixture *fixture = set_up ();
+  json_t *root = plan_json (fixture, "{\"intents\":[{\"kind\":\"drain\",\"service\":\"scoring\","
+                                     "\"name\":\"bole\",\"value\":60000}]}");
+  json_t *effects = json_array_get (json_object_get (root, "effects"), 0);
+  json_t *target = json_array_get (json_object_get (effects, "targets"), 0);
+  json_t *domain = json_array_get (json_object_get (effects, "capacity"), 0);
+  CU_ASSERT_STRING_EQUAL (json_text (target, "effect"), "drains");
+  CU_ASSERT (json_integer_value (json_object_get (target, "buckets_before")) > 0);
+  CU_ASSERT (json_integer_value (json_object_get (target, "buckets_after")) == 0);
+  CU_ASSERT (json_integer_value (json_object_get (domain, "slots_before")) == 10);
+  CU_ASSERT (json_integer_value (json_object_get (domain, "slots_after")) == 0);
+  CU_ASSERT (effect (root, "flows_open") == 40 && effect (root, "requests_in_progress") == 8);
+  CU_ASSERT (effect (root, "drain_within_ms") == 60000);
+  CU_ASSERT (effect (root, "buckets_moved") > 60 && effect (root, "buckets_moved") < 200);
+  CU_ASSERT (json_array_size (json_object_get (root, "refusals")) == 0);
+  CU_ASSERT (json_array_size (json_object_get (root, "warnings")) == 3);
+  json_decref (root);
+  talloc_free (fixture);
+}
+
+/**
+ * struct Refusal - a request and the promise that it would break
+ */
+typedef struct
+{
+  const char *request;
+  const char *what;
+} Refusal;
+
+static void
+test_broken_promises_are_refused_with_a_remedy (void)
+{
+  static const Refusal refusals[] = {
+    { "{\"intents\":[{\"kind\":\"remove\",\"service\":\"scoring\"}]}",
+      "removing the service would break its open flows" },
+    { "{\"services\":{}}", "removing the service would break its open flows" },
+    { "{\"intents\":[{\"kind\":\"change\",\"service\":\"scoring\",\"settings\":{\"port\":1}}]}",
+      "another port would break the service's open flows" },
+    { "{\"intents\":[{\"kind\":\"change\",\"service\":\"scoring\",\"settings\":{\"protocol\":"
+      "\"udp\"}}]}",
+      "another protocol would change the promises of open flows" },
+    { "{\"intents\":[{\"kind\":\"drain\",\"service\":\"scoring\",\"name\":\"bole\"},{\"kind\":"
+      "\"drain\",\"service\":\"scoring\",\"name\":\"kality\"},{\"kind\":\"drain\",\"service\":"
+      "\"scoring\",\"name\":\"akaki\"}]}",
+      "no target would be left to take new flows" },
+    { "{\"intents\":[{\"kind\":\"drain\",\"service\":\"scoring\",\"name\":\"bole\",\"value\":"
+      "1999}]}",
+      "the drain limit is shorter than the deadline of requests in progress" },
+    { "{\"intents\":[{\"kind\":\"create\",\"service\":\"media\",\"settings\":{\"port\":5683}}]}",
+      "port 5683 belongs to service 'scoring'" },
+  };
+  for (unsigned i = 0; i < sizeof refusals / sizeof refusals[0]; i++)
+    {
+      Fixture *fixture = set_up ();
+      KqError error = { 0 };
+      char *text = plan (fixture, refusals[i].request, &error);
+      assert (text != NULL);
+      json_t *root = json_loads (text, 0, NULL);
+      CU_ASSERT_STRING_EQUAL (text_at (root, "refusals", 0, "what"), refusals[i].what);
+      CU_ASSERT (strlen (text_at (root, "refusals", 0, "remedy")) > 0);
+      CU_ASSERT (json_array_size (json_object_get (root, "writes")) == 0);
+      CU_ASSERT (kq_plan_read (fixture, text, strlen (text), &error) == NULL);
+      CU_ASSERT (error.kind == KQ_ERROR_DENIED);
+      json_decref (root);
+      talloc_free (fixture);
+    }
+}
+
+static void
+test_requests_that_do_not_fit_are_errors (void)
+{
+  static const Refusal faults[] = {
+    { "{", "request is not JSON" },
+    { "{\"intents\":[]}", "a plan takes 1 to 64 intents" },
+    { "{\"intents\":[{\"kind\":\"dance\",\"service\":\"scoring\"}]}", "intent 'dance' is unknown" },
+    { "{\"intents\":[{\"kind\":\"remove\",\"service\":\"Media\"}]}",
+      "name 'Media' is not allowed" },
+    { "{\"intents\":[{\"kind\":\"remove\",\"service\":\"media\"}]}",
+      "service 'media' does not exist" },
+    { "{\"intents\":[{\"kind\":\"create\",\"service\":\"scoring\"}]}", "service 'scoring' exists" },
+    { "{\"intents\":[{\"kind\":\"create\",\"service\":\"media\"}]}", "port is 0" },
+    { "{\"intents\":[{\"kind\":\"join\",\"service\":\"scoring\",\"name\":\"bole\"}]}",
+      "'bole' of service 'scoring' is not drained" },
+    { "{\"intents\":[{\"kind\":\"undo\",\"service\":\"media\"}]}",
+      "service 'media' has no change" },
+    { "{\"services\":{\"scoring\":{\"colour\":1}}}", "setting 'colour' is unknown" },
+    { "{\"services\":{\"scoring\":{\"slots\":-1}}}", "slots is not a whole number" },
+    { "{\"intents\":[{\"kind\":\"move\",\"service\":\"scoring\",\"name\":\"x\",\"value\":5}]}",
+      "no target of service 'scoring' runs in failure domain 'x'" },
+  };
+  for (unsigned i = 0; i < sizeof faults / sizeof faults[0]; i++)
+    {
+      Fixture *fixture = set_up ();
+      KqError error = { 0 };
+      CU_ASSERT (plan (fixture, faults[i].request, &error) == NULL);
+      CU_ASSERT (strncmp (error.message, faults[i].what, strlen (faults[i].what)) == 0);
+      talloc_free (fixture);
+    }
+}
+
+static void
+test_whole_is_planned_as_the_difference (void)
+{
+  Fixture *fixture = set_up ();
+  json_t *root = plan_json (fixture, "{\"services\":{\"scoring\":{\"port\":5683,\"slots\":6},"
+                                     "\"media\":{\"port\":5684,\"worth\":{\"photos\":2}}}}");
+  json_t *changes = json_object_get (root, "changes");
+  json_t *fields = json_object_get (json_array_get (changes, 0), "fields");
+  CU_ASSERT (json_array_size (changes) == 2 && json_array_size (fields) == 1);
+  CU_ASSERT_STRING_EQUAL (json_text (json_array_get (fields, 0), "to"), "6");
+  CU_ASSERT_STRING_EQUAL (text_at (root, "changes", 1, "what"), "create");
+  CU_ASSERT_STRING_EQUAL (text_at (root, "writes", 1, "key"), "/kumquat/v1/services/500");
+  CU_ASSERT_STRING_EQUAL (text_at (root, "writes", 2, "key"), "/kumquat/v1/claims/name/media");
+  CU_ASSERT_STRING_EQUAL (text_at (root, "writes", 3, "key"), "/kumquat/v1/claims/port/5684");
+  json_decref (root);
+  talloc_free (fixture);
+}
+
+static void
+test_confirmed_writes_and_undo (void)
+{
+  Fixture *fixture = set_up ();
+  KqError error = { 0 };
+  char *text = plan (fixture,
+                     "{\"intents\":[{\"kind\":\"weight\",\"service\":\"scoring\",\"name\":"
+                     "\"scoring-1\",\"value\":50}]}",
+                     &error);
+  KqPlanWrites *writes = kq_plan_read (fixture, text, strlen (text), &error);
+  CU_ASSERT_FATAL (writes != NULL && writes->count == 1);
+  const uint8_t *value = (const uint8_t *)writes->writes[0].value;
+  size_t size = strlen (writes->writes[0].value);
+  CU_ASSERT (writes->writes[0].expected == 7);
+  CU_ASSERT (kq_plan_wrote (value, size, OPERATION) && !kq_plan_wrote (value, size, "other"));
+  CU_ASSERT_STRING_EQUAL (kq_plan_difference (fixture, writes->writes[0].base, value, size),
+                          "weight.scoring-1: '' -> '50'");
+  CU_ASSERT (kq_plan_base_parse (value, size, 8, &fixture->bases[0], &error) == 0);
+  CU_ASSERT (fixture->bases[0].has_previous && fixture->bases[0].service.weight_count == 1);
+  json_t *root = plan_json (fixture, "{\"intents\":[{\"kind\":\"undo\",\"service\":\"scoring\"}]}");
+  json_t *fields =
+      json_object_get (json_array_get (json_object_get (root, "changes"), 0), "fields");
+  CU_ASSERT_STRING_EQUAL (json_text (json_array_get (fields, 0), "from"), "50");
+  json_decref (root);
+  talloc_free (fixture);
+}
+
+static void
+test_altered_plan_is_refused (void)
+{
+  Fixture *fixture = set_up ();
+  KqError error = { 0 };
+  char *text = plan (fixture,
+                     "{\"intents\":[{\"kind\":\"worth\",\"service\":\"scoring\",\"name\":"
+                     "\"marks\",\"value\":50}]}",
+                     &error);
+  char *value = strstr (text, "\"marks\":50");
+  assert (value != NULL);
+  value[strlen ("\"marks\":")] = '6';
+  CU_ASSERT (kq_plan_read (fixture, text, strlen (text), &error) == NULL);
+  CU_ASSERT_STRING_EQUAL (error.message, "the plan was altered after it was made; plan again");
+  talloc_free (fixture);
+}
+
+static void
+test_name_of_a_removed_service_gets_a_new_number (void)
+{
+  Fixture *fixture = set_up ();
+  fixture->bases[0].service.removed = true;
+  json_t *root = plan_json (fixture, "{\"intents\":[{\"kind\":\"create\",\"service\":\"scoring\","
+                                     "\"settings\":{\"port\":5683}}]}");
+  CU_ASSERT_STRING_EQUAL (text_at (root, "writes", 0, "key"), "/kumquat/v1/services/500");
+  json_decref (root);
+  talloc_free (fixture);
+}
+
+static void
+test_move_in_steps (void)
+{
+  Fixture *fixture = set_up ();
+  json_t *half = plan_json (fixture, "{\"intents\":[{\"kind\":\"move\",\"service\":\"scoring\","
+                                     "\"name\":\"bole\",\"value\":50}]}");
+  json_t *all = plan_json (fixture, "{\"intents\":[{\"kind\":\"move\",\"service\":\"scoring\","
+                                    "\"name\":\"bole\",\"value\":100}]}");
+  CU_ASSERT (effect (half, "buckets_moved") > 0);
+  CU_ASSERT (effect (half, "buckets_moved") < effect (all, "buckets_moved"));
+  json_decref (half);
+  json_decref (all);
+  talloc_free (fixture);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "drain names targets, buckets and capacity", test_drain_names_targets_buckets_and_capacity },
+    { "broken promises are refused with a remedy", test_broken_promises_are_refused_with_a_remedy },
+    { "requests that do not fit are errors", test_requests_that_do_not_fit_are_errors },
+    { "whole is planned as the difference", test_whole_is_planned_as_the_difference },
+    { "confirmed writes and undo", test_confirmed_writes_and_undo },
+    { "altered plan is refused", test_altered_plan_is_refused },
+    { "name of a removed service gets a new number",
+      test_name_of_a_removed_service_gets_a_new_number },
+    { "move in steps", test_move_in_steps },
+  };
+  return kq_unit_run ("plan", tests, sizeof tests / sizeof tests[0]);
+}
