--- a/Makefile
+++ b/Makefile
@@ -108,3 +108,26 @@
 
 .PHONY: dependencies all everything unit-tests fuzzers benches check format format-check lint clean
 .SECONDARY:
+
+# The whole system on loopback; needs no sanitizers.
+demo: all
+	tools/demo.py --seed $(SEED)
+
+PROOF = KQ_BIN=$(CURDIR)/$(B)/bin tests/integration/proof.py
+SWITCHES_BUILD = build/switches
+
+proof: all
+	$(PROOF)
+
+# Each case of switches.toml must fail, in a build whose mechanisms can be switched off.
+proof-off:
+	$(MAKE) B=$(SWITCHES_BUILD) EXTRA_CFLAGS=-DKQ_TEST_SWITCHES all
+	KQ_BIN=$(CURDIR)/$(SWITCHES_BUILD)/bin tests/integration/proof.py --off
+
+proof-page:
+	tests/integration/proof.py --write-page
+
+bench: all
+	python3 bench/bench_path.py
+
+.PHONY: demo proof proof-off proof-page bench
--- /dev/null
+++ b/include/kumquat/internal/test_switch.h
@@ -0,0 +1,18 @@
+/* Switches single mechanisms off in a test build, to show that the proofs fail without them. */
+#pragma once
+
+#ifdef KQ_TEST_SWITCHES
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** kq_test_switched_off - Return: whether the environment variable KQ_TEST_DISABLE is @mechanism */
+static inline bool
+kq_test_switched_off (const char *mechanism)
+{
+  const char *disabled = getenv ("KQ_TEST_DISABLE");
+  return disabled != NULL && strcmp (disabled, mechanism) == 0;
+}
+#else
+#define kq_test_switched_off(mechanism) false
+#endif
--- a/standins/lib/fleet.c
+++ b/standins/lib/fleet.c
@@ -398,7 +398,7 @@
 kq_fleet_drain (KqFleet *fleet, unsigned agent)
 {
   if (fleet->agents[agent].placement != NULL)
-    kq_placement_drain (fleet->agents[agent].placement, fleet->now);
+    kq_placement_set_draining (fleet->agents[agent].placement, true, fleet->now);
   fleet->truth[agent].phase = KQ_PHASE_DRAINING;
   spread (fleet, agent, fleet->params.lag_max);
 }
--- a/tests/integration/cluster.py
+++ b/tests/integration/cluster.py
@@ -28,38 +28,68 @@
     return document
 
 
+def encode(text):
+    return base64.b64encode(text.encode()).decode()
+
+
 class Cluster(Bench):
     """Starts and stops the system's processes; names follow NAME-NUMBER."""
 
-    def __init__(self, seed=1, control=None):
-        super().__init__()
+    def __init__(self, seed=1, control=None, environment=None):
+        super().__init__(environment)
         self.seed = seed
         self.control = {"probe_interval_ms": 200, "suspicion_ms": 1500}
         self.control.update(control or {})
         self.store_address = f"{self.ip(0, 1)}:2379"
+        self.store_admin = f"{self.ip(0, 1)}:2380"
+        self.documents = {}
         self.store_seen = self.store_address  # what balancers use; a proxy may stand between
         self.balancers = []
         self.agents = {}  # name -> number
         self.callers = []
         self.numbers = 0
 
-    def start_store(self, *options):
-        return self.standin("store", "store", "--listen", self.store_address, "--seconds", "110",
-                            *options)
+    def start_store(self):
+        process = self.start("store", "standin-store", "--listen", self.store_address, "--admin",
+                             self.store_admin)
+        process.wait_log("listening")
+        return process
 
-    def store_put(self, key, value):
-        """Writes one key past the system, as the initial configuration and for fault cases."""
-        body = {"key": base64.b64encode(key.encode()).decode(),
-                "value": base64.b64encode(value.encode()).decode()}
-        request = urllib.request.Request(f"http://{self.store_address}/v3/kv/put",
-                                         json.dumps(body).encode(),
+    def store_fault(self, name, **parameters):
+        """Sets a switch of the store's stand-in, such as down, slow or lose_answers."""
+        query = "&".join(f"{k}={v}" for k, v in parameters.items())
+        status, body = get(f"http://{self.store_admin}/admin/{name}?{query}")
+        if status != 200:
+            raise processes.Failure(f"store switch {name}: {status} {body}")
+        return json.loads(body)
+
+    def _put_service(self, document):
+        """Writes a service past the system, as the platform's own tools would."""
+        self.documents[document["name"]] = document
+        key = f"/kumquat/v1/services/{document['name']}"
+        put = {"key": encode(key), "value": encode(json.dumps(document))}
+        body = json.dumps({"compare": [], "success": [{"request_put": put}]}).encode()
+        request = urllib.request.Request(f"http://{self.store_address}/v3/kv/txn", body,
                                          {"Content-Type": "application/json"})
         with urllib.request.urlopen(request, timeout=5) as answer:
-            return json.loads(answer.read())
+            if not json.loads(answer.read()).get("succeeded"):
+                raise processes.Failure(f"the store refused {key}")
 
-    def put_service(self, name, **changes):
-        self.store_put(f"/kumquat/v1/services/{name}",
-                       json.dumps(service_document(name, **changes)))
+    def create_services(self, names):
+        for name in names:
+            self._put_service(service_document(name))
+
+    def confirm(self, verb, service, argument):
+        """Changes the configuration of a service: drain or allow a target, or set KEY=NUMBER."""
+        document = dict(self.documents[service])
+        if verb == "drain":
+            document["denied"] = [*document["denied"], {"name": argument, "limit_ms": 0}]
+        elif verb == "allow":
+            document["denied"] = [d for d in document["denied"] if d["name"] != argument]
+        else:
+            key, value = argument.split("=")
+            document[key] = int(value)
+        self._put_service(document)
 
     def _write_settings(self, name, sections):
         lines = [f'{k} = {json.dumps(v)}' for k, v in sections.pop("").items()]
--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -48,14 +48,15 @@
 class Process:
     """One process; its standard error goes to NAME.log in the cluster's folder."""
 
-    def __init__(self, folder, name, argv):
+    def __init__(self, folder, name, argv, environment=None):
         self.name = name
         self.log_path = folder / f"{name}.log"
         self.summary_path = folder / f"{name}.summary"
         self.journal_path = folder / f"{name}.journal"
         with open(self.log_path, "ab") as log:
             self.popen = subprocess.Popen([str(a) for a in argv], cwd=folder, stdin=subprocess.PIPE,
-                                          stdout=log, stderr=log)
+                                          stdout=log, stderr=log,
+                                          env={**os.environ, **(environment or {})})
 
     def log(self):
         return self.log_path.read_text(errors="replace")
@@ -107,7 +108,8 @@
 class Bench:
     """A folder, a loopback network of its own and the processes in it; a context manager."""
 
-    def __init__(self):
+    def __init__(self, environment=None):
+        self.environment = environment
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kumquat-"))
         self.processes = {}
         self.net, self.lock = self._take_net()
@@ -129,7 +131,7 @@
         return f"127.{self.net}.{group}.{number}"
 
     def start(self, name, program, *options, ready=None):
-        process = Process(self.folder, name, [BIN / program, *options])
+        process = Process(self.folder, name, [BIN / program, *options], self.environment)
         self.processes[name] = process
         if ready is not None:
             process.wait_log(ready)
