Switches of single mechanisms for the proofs of the proofs

Cause: each promise's checker has to be shown to fail when its mechanism is off. Change: a test build with KQ_TEST_SWITCHES reads KQ_TEST_DISABLE in agent, guard and catalogue. Ruled out: settings for it; an operator could switch a promise off. Conclusion: the release build contains none of it.

--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -7,6 +7,7 @@
 
 #include "kumquat/internal/agent_impl.h"
 #include "kumquat/internal/clock.h"
+#include "kumquat/internal/test_switch.h"
 #include "kumquat/log.h"
 #include "kumquat/service_document.h"
 
@@ -24,7 +25,8 @@
   KqMember self = own_member (agent);
   if (agent->service.number == 0)
     return KQ_PHASE_STARTING;
-  if (agent->shutting_down || agent->service.removed || !kq_service_admits (&agent->service, &self))
+  bool denied = agent->service.removed || !kq_service_admits (&agent->service, &self);
+  if ((agent->shutting_down || denied) && !kq_test_switched_off ("drain"))
     return KQ_PHASE_DRAINING;
   if (!kq_target_probe_answers (agent->probe) && agent->service.protocol == KQ_PROTOCOL_COAP)
     return KQ_PHASE_STARTING;
@@ -150,7 +152,7 @@
 static bool
 nothing_in_progress (const KqAgent *agent)
 {
-  if (agent->placement == NULL)
+  if (agent->placement == NULL || kq_test_switched_off ("wait"))
     return true;
   return kq_request_guard_idle (agent->guard) &&
          kq_placement_stats (agent->placement).flows_open == 0;
--- a/src/process/agent_data.c
+++ b/src/process/agent_data.c
@@ -6,6 +6,7 @@
 
 #include "kumquat/internal/agent_impl.h"
 #include "kumquat/internal/clock.h"
+#include "kumquat/internal/test_switch.h"
 #include "kumquat/internal/udp_socket.h"
 #include "kumquat/log.h"
 
@@ -170,6 +171,19 @@
   kq_flow_sockets_close (agent->flows, key);
 }
 
+static unsigned
+disabled_rules (void)
+{
+  unsigned rules = 0;
+  if (kq_test_switched_off ("echo"))
+    rules |= KQ_DISABLE_ECHO;
+  if (kq_test_switched_off ("kept-answers"))
+    rules |= KQ_DISABLE_KEPT_ANSWERS;
+  if (kq_test_switched_off ("refusal"))
+    rules |= KQ_DISABLE_KEPT_REFUSALS;
+  return rules;
+}
+
 static KqRequestGuardParams
 guard_params (KqAgent *agent)
 {
@@ -183,7 +197,8 @@
                                   .kept_answer_us = KEPT_ANSWER_LIFETIME,
                                   .echo_us = ECHO_LIFETIME,
                                   .ramp_us = agent->params.ramp_us,
-                                  .seed = kq_random_next (&agent->random) };
+                                  .seed = kq_random_next (&agent->random),
+                                  .disable = disabled_rules () };
   memcpy (params.echo_key, agent->params.echo_key, sizeof params.echo_key);
   for (unsigned i = 0; i < service->worth_count && i < KQ_REQUEST_CLASSES_MAX; i++)
     {
@@ -282,6 +297,11 @@
       agent->counters.datagrams_malformed++;
       return;
     }
+  if (kq_test_switched_off ("identity"))
+    {
+      packet.key.service = agent->service.number;
+      packet.to = agent->self.incarnation;
+    }
   if (agent->placement == NULL || packet.key.service != agent->service.number)
     {
       agent->counters.wrong_service++;
--- a/src/version/service_catalog.c
+++ b/src/version/service_catalog.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "kumquat/internal/test_switch.h"
 #include "kumquat/service_catalog.h"
 
 struct KqServiceCatalog
@@ -55,7 +56,8 @@
   if (position == catalog->count || catalog->services[position]->number != service->number)
     return insert (catalog, position, service);
   KqService *known = catalog->services[position];
-  if (kq_revision_compare (service->revision, known->revision) <= 0)
+  bool older = kq_revision_compare (service->revision, known->revision) <= 0;
+  if (older && !kq_test_switched_off ("revision"))
     return 0;
   *known = *service;
   return 1;
