--- a/include/kumquat/control.h
+++ b/include/kumquat/control.h
@@ -3,29 +3,14 @@
 
 #include <tevent.h>
 
+#include "kumquat/document.h"
 #include "kumquat/random.h"
 #include "kumquat/view.h"
 
-#define KQ_SEEDS_MAX      8
-#define KQ_DOCUMENT_BYTES 65536 /* largest configuration document of one service */
+#define KQ_SEEDS_MAX 8
 
 typedef struct KqControl KqControl;
 
-/**
- * struct KqDocument - one service's configuration document as it is stored and spread
- * @service: the service's number
- * @revision: its version
- * @bytes: (array): the JSON text
- * @size: bytes at @bytes
- */
-typedef struct
-{
-  uint32_t service;
-  KqRevision revision;
-  const uint8_t *bytes;
-  size_t size;
-} KqDocument;
-
 /**
  * struct KqControlOps - what the control plane tells its process; all pointers are borrowed
  * @members_changed: a member joined, left, died, or changed what it says of itself
@@ -45,6 +30,8 @@
  * @seeds: (array): control addresses of instances to join through
  * @seed_count: length of @seeds
  * @key: key of the message authentication code of control traffic
+ * @old_key: second key that is accepted but not used to send, while keys are rotated
+ * @has_old_key: whether @old_key is set
  * @probe_interval_us: time between probes of one member each
  * @suspicion_us: how long a suspected member has to refute
  * @budget_bytes_per_s: limit of the bytes that control traffic sends
@@ -58,30 +45,10 @@
   KqTime probe_interval_us;
   KqTime suspicion_us;
   unsigned budget_bytes_per_s;
+  uint8_t old_key[32];
+  bool has_old_key;
 } KqControlParams;
 
-/**
- * struct KqInForce - how far one document has spread, counted from acknowledgements
- * @revision: the newest revision known here
- * @balancers: live balancers
- * @balancers_in_force: those that acknowledged @revision
- * @agents: live agents of the service
- * @agents_in_force: those that acknowledged @revision
- * @laggards: (array): names of some that did not
- * @laggard_count: length of @laggards
- */
-#define KQ_LAGGARDS_MAX 16
-typedef struct
-{
-  KqRevision revision;
-  unsigned balancers;
-  unsigned balancers_in_force;
-  unsigned agents;
-  unsigned agents_in_force;
-  char laggards[KQ_LAGGARDS_MAX][KQ_NAME_BYTES];
-  unsigned laggard_count;
-} KqInForce;
-
 /**
  * kq_control_new - binds the control ports and starts to join
  *
@@ -98,6 +65,13 @@
 /** kq_control_set_phase - announces another phase of this agent's target */
 void kq_control_set_phase (KqControl *control, KqTargetPhase phase);
 
+/** kq_control_set_service - announces the number of the service that this agent's target serves,
+ * once it is known; until then the agent learns every document */
+void kq_control_set_service (KqControl *control, uint32_t service);
+
+/** kq_control_set_keys - sends with @key from now on and accepts @old_key as well, NULL for none */
+void kq_control_set_keys (KqControl *control, const uint8_t key[32], const uint8_t *old_key);
+
 /** kq_control_self - Return: (borrowed) what is announced now; the incarnation may have grown */
 const KqMember *kq_control_self (const KqControl *control);
 
@@ -120,6 +94,3 @@
 
 /** kq_control_metrics - writes Prometheus text; Return: (owned by @parent) the text */
 char *kq_control_metrics (const void *parent, const KqControl *control);
-
-/** kq_control_set_service - announces which service this agent's target serves */
-void kq_control_set_service (KqControl *control, uint32_t service);
--- /dev/null
+++ b/include/kumquat/document.h
@@ -0,0 +1,43 @@
+/* Configuration documents as they are spread, and how far one has spread. */
+#pragma once
+
+#include "kumquat/types.h"
+
+#define KQ_DOCUMENT_BYTES 65536 /* largest configuration document of one service */
+#define KQ_LAGGARDS_MAX   16
+
+/**
+ * struct KqDocument - one service's configuration document as it is stored and spread
+ * @service: the service's number
+ * @revision: its version
+ * @bytes: (array): the JSON text
+ * @size: bytes at @bytes
+ */
+typedef struct
+{
+  uint32_t service;
+  KqRevision revision;
+  const uint8_t *bytes;
+  size_t size;
+} KqDocument;
+
+/**
+ * struct KqInForce - how far one document has spread, counted from acknowledgements
+ * @revision: the newest revision known here
+ * @balancers: live balancers
+ * @balancers_in_force: those that acknowledged @revision
+ * @agents: live agents of the service
+ * @agents_in_force: those that acknowledged @revision
+ * @laggards: (array): names of some that did not
+ * @laggard_count: length of @laggards
+ */
+typedef struct
+{
+  KqRevision revision;
+  unsigned balancers;
+  unsigned balancers_in_force;
+  unsigned agents;
+  unsigned agents_in_force;
+  char laggards[KQ_LAGGARDS_MAX][KQ_NAME_BYTES];
+  unsigned laggard_count;
+} KqInForce;
--- /dev/null
+++ b/include/kumquat/internal/gossip.h
@@ -0,0 +1,56 @@
+/* Queue of changes that ride on datagrams: least sent first, then newest, each sent a few times. */
+#pragma once
+
+#include <sys/queue.h>
+
+#include "kumquat/types.h"
+
+#define KQ_GOSSIP_SENDS_MAX 64
+
+typedef enum
+{
+  KQ_GOSSIP_MEMBER,
+  KQ_GOSSIP_DOCUMENT,
+  KQ_GOSSIP_DOMAIN,
+  KQ_GOSSIP_KINDS
+} KqGossipKind;
+
+/**
+ * struct KqGossipItem - one change that is still being spread
+ * @link: place in the list of items that were sent equally often
+ * @kind: what changed
+ * @key: the member's id, the service's number or the failure domain's hash
+ * @sends: how often it was sent
+ */
+typedef struct KqGossipItem
+{
+  TAILQ_ENTRY (KqGossipItem) link;
+  KqGossipKind kind;
+  uint64_t key;
+  unsigned sends;
+} KqGossipItem;
+
+typedef struct KqGossip KqGossip;
+
+/** kq_gossip_new - Return: (owned by @parent) an empty queue */
+KqGossip *kq_gossip_new (const void *parent);
+
+/** kq_gossip_sends - Return: how often each change is sent in a group of @members */
+unsigned kq_gossip_sends (unsigned members);
+
+/** kq_gossip_add - queues a change, or starts again with the one that is queued; a full queue drops
+ * the change that was sent most, which anti-entropy repairs */
+void kq_gossip_add (KqGossip *gossip, KqGossipKind kind, uint64_t key);
+
+/** kq_gossip_next - Return: the item to send after @after (NULL for the first), or NULL */
+KqGossipItem *kq_gossip_next (KqGossip *gossip, KqGossipItem *after);
+
+/** kq_gossip_sent - counts one send of @item; drops it after @limit sends */
+void kq_gossip_sent (KqGossip *gossip, KqGossipItem *item, unsigned limit);
+
+/** kq_gossip_drop - removes @item unsent */
+void kq_gossip_drop (KqGossip *gossip, KqGossipItem *item);
+
+/** kq_gossip_clear - drops every change */
+void kq_gossip_clear (KqGossip *gossip);
+unsigned kq_gossip_length (const KqGossip *gossip);
--- /dev/null
+++ b/include/kumquat/internal/group_impl.h
@@ -0,0 +1,231 @@
+/* State and inner calls that the parts of the group share. */
+#pragma once
+
+#include <sys/queue.h>
+
+#include "kumquat/internal/config_spread.h"
+#include "kumquat/internal/control_message.h"
+#include "kumquat/internal/gossip.h"
+#include "kumquat/internal/group.h"
+
+#define KQ_PROBES_MAX  32 /* probes that wait for an answer */
+#define KQ_RELAYS_MAX  64 /* probes on behalf of others that wait for an answer */
+#define KQ_INDIRECT    3  /* members asked to probe on one's behalf */
+#define KQ_CONFIRMERS  3  /* independent suspicions that shorten the timeout to its least */
+#define KQ_DOMAINS_MAX 64
+
+/**
+ * struct KqProbe - one probe of a member that was not answered yet
+ * @id: the member; 0 when unused
+ * @sequence: of the direct probe and of the indirect ones
+ * @sent: when the direct probe was sent
+ * @indirect: whether others were asked
+ */
+typedef struct
+{
+  uint64_t id;
+  uint64_t sequence;
+  KqTime sent;
+  bool indirect;
+} KqProbe;
+
+/**
+ * struct KqRelay - a probe on behalf of another instance
+ * @sequence: of the probe that this instance sent; 0 when unused
+ * @asked: sequence that the other instance knows
+ * @about: the probed member
+ * @reply: control address of the other instance
+ * @asker: id of the other instance
+ */
+typedef struct
+{
+  uint64_t sequence;
+  uint64_t asked;
+  uint64_t about;
+  KqAddress reply;
+  uint64_t asker;
+} KqRelay;
+
+/**
+ * struct KqSuspicion - a member that is suspected here
+ * @link: place in the list
+ * @id: the member
+ * @incarnation: life that is suspected
+ * @version: version that is suspected
+ * @started: when it was first suspected here
+ * @next_ping: when to probe it again; only instances whose own probe failed do
+ * @from: (array): distinct instances whose own probes failed
+ * @from_count: length of @from
+ * @mine: this instance's own probe failed
+ */
+typedef struct KqSuspicion
+{
+  TAILQ_ENTRY (KqSuspicion) link;
+  uint64_t id;
+  uint64_t incarnation;
+  uint32_t version;
+  KqTime started;
+  KqTime next_ping;
+  uint64_t from[KQ_CONFIRMERS];
+  unsigned from_count;
+  bool mine;
+} KqSuspicion;
+TAILQ_HEAD (KqSuspicions, KqSuspicion);
+
+/**
+ * struct KqDomainWatch - what own probes say about one failure domain
+ * @domain: hash of its name
+ * @name: its name
+ * @event: number of its last event; odd while it is lost
+ * @failures: probes of distinct members that failed since the last answer from it
+ * @last_failed: the member of the last of these
+ * @last_answer: when a member of it was last heard
+ * @checking_since: when it began to look lost; 0 when it does not
+ */
+typedef struct
+{
+  uint64_t domain;
+  char name[KQ_NAME_BYTES];
+  uint64_t event;
+  unsigned failures;
+  uint64_t last_failed;
+  KqTime last_answer;
+  KqTime checking_since;
+} KqDomainWatch;
+
+/**
+ * struct KqBalancer - one live balancer, as acknowledgements need it
+ */
+typedef struct
+{
+  uint64_t id;
+  uint64_t domain;
+} KqBalancer;
+
+struct KqGroup
+{
+  KqGroupParams params;
+  KqGroupOps ops;
+  void *data;
+  KqTime now;
+  KqTime started;
+  KqRandom random;
+  KqMembers *members;
+  KqGossip *gossip;
+  KqConfigSpread *spread;
+  KqTokenBucket budget;
+  KqTokenBucket deaths;
+  KqGroupStats stats;
+  uint64_t self;
+  uint64_t sequence;
+  bool leaving;
+  bool changed;
+  KqTime paused_at;
+  KqTime last_tick;
+  KqTime announced_at;
+
+  KqTime next_probe;
+  KqTime next_gossip;
+  KqTime next_dead_probe;
+  KqTime next_forget;
+  unsigned cursor;
+  unsigned stride;
+  unsigned round_size;
+  unsigned round_left;
+  KqTime last_answer;
+  KqProbe probes[KQ_PROBES_MAX];
+  KqRelay relays[KQ_RELAYS_MAX];
+  unsigned next_relay;
+  struct KqSuspicions suspicions;
+  KqDomainWatch domains[KQ_DOMAINS_MAX];
+  unsigned domain_count;
+
+  bool joined;
+  bool settled;
+  unsigned sync_rounds;
+  unsigned sync_tries;
+  KqTime next_sync;
+
+  unsigned pull_cursor;
+  KqTime next_pull;
+  unsigned report_cursor;
+  KqTime next_report;
+  KqBalancer *balancers;
+  unsigned balancer_count;
+  bool balancers_stale;
+  uint32_t balancers_generation;
+};
+
+/* group.c */
+KqRecord *kq_group_own_record (const KqGroup *group);
+KqRecord *kq_group_random_live (KqGroup *group);
+void kq_group_apply_item (KqGroup *group, const KqItem *item, bool spread);
+void kq_group_announce_self (KqGroup *group);
+void kq_group_new_life (KqGroup *group, uint64_t at_least);
+void kq_group_log (KqGroup *group, int level, const char *name, const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+
+/* group_send.c */
+typedef struct
+{
+  KqWriter writer;
+  uint8_t bytes[KQ_CONTROL_DATAGRAM_BYTES];
+} KqOutgoing;
+void kq_group_begin (KqGroup *group, KqOutgoing *out, KqControlType type, uint64_t sequence,
+                     const KqRecord *to);
+void kq_group_begin_header (KqGroup *group, KqOutgoing *out, KqControlHeader *header);
+bool kq_group_member_item (const KqGroup *group, uint64_t id, KqItem *item);
+void kq_group_piggyback (KqGroup *group, KqOutgoing *out);
+bool kq_group_finish (KqGroup *group, KqOutgoing *out, const KqAddress *to, KqPriority priority);
+void kq_group_gossip_tick (KqGroup *group);
+
+/* swim.c */
+void kq_swim_tick (KqGroup *group);
+void kq_swim_ping (KqGroup *group, const KqControlHeader *header);
+void kq_swim_ping_req (KqGroup *group, const KqControlHeader *header);
+void kq_swim_ack (KqGroup *group, const KqControlHeader *header);
+void kq_swim_heard (KqGroup *group, uint64_t from);
+void kq_swim_shift (KqGroup *group, KqTime gap);
+void kq_swim_reset (KqGroup *group);
+void kq_swim_send_ping (KqGroup *group, const KqRecord *record, uint64_t sequence);
+void kq_swim_send_ping_req (KqGroup *group, const KqRecord *record, uint64_t sequence);
+
+/* suspicion.c */
+void kq_suspicion_probe_failed (KqGroup *group, const KqRecord *record);
+void kq_suspicion_claimed (KqGroup *group, const KqRecord *record, uint64_t from);
+void kq_suspicion_tick (KqGroup *group);
+KqSuspicion *kq_suspicion_find (KqGroup *group, uint64_t id);
+
+/* domain_watch.c */
+bool kq_domain_probe_failed (KqGroup *group, const KqRecord *record);
+void kq_domain_heard (KqGroup *group, uint64_t domain);
+bool kq_domain_checking (KqGroup *group, uint64_t domain);
+void kq_domain_apply (KqGroup *group, uint64_t domain, uint64_t event);
+uint64_t kq_domain_event (const KqGroup *group, uint64_t domain);
+void kq_domain_tick (KqGroup *group);
+
+/* digest.c */
+void kq_digest_tick (KqGroup *group);
+void kq_digest_soon (KqGroup *group);
+int kq_digest_request (KqGroup *group, KqReader *reader, KqWriter *answer);
+int kq_digest_answer (KqGroup *group, const KqControlHeader *header, KqReader *reader);
+
+/* config_pull.c */
+bool kq_config_wanted (const KqGroup *group, uint32_t service);
+void kq_config_hear (KqGroup *group, uint32_t service, KqRevision revision, uint64_t holder);
+void kq_config_pull_tick (KqGroup *group);
+int kq_config_pull_request (KqGroup *group, KqReader *reader, KqWriter *answer);
+int kq_config_documents (KqGroup *group, KqReader *reader);
+
+/* config_report.c */
+void kq_report_tick (KqGroup *group);
+int kq_report_holders (KqGroup *group, const KqControlHeader *header, KqReader *reader);
+void kq_report_holders_ok (KqGroup *group, const KqControlHeader *header);
+int kq_report_query (KqGroup *group, const KqControlHeader *header, KqReader *reader);
+int kq_report_summary (KqGroup *group, KqReader *reader);
+
+/* watchers.c */
+uint64_t kq_rendezvous_weight (uint64_t key, uint64_t id);
+void kq_group_refresh_balancers (KqGroup *group);
+uint64_t kq_group_root (const KqGroup *group, uint32_t service);
+uint64_t kq_group_collector (const KqGroup *group, uint32_t service, uint64_t domain);
--- /dev/null
+++ b/src/process/control.c
@@ -0,0 +1,234 @@
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "kumquat/control.h"
+#include "kumquat/internal/clock.h"
+#include "kumquat/internal/control_impl.h"
+#include "kumquat/internal/udp_socket.h"
+#include "kumquat/log.h"
+
+#define UDP_IP_HEADER_BYTES 28
+#define BATCHES_A_TURN      8 /* batches of datagrams taken before other events get their turn */
+
+static void
+send_datagram (const KqAddress *to, const uint8_t *bytes, size_t size, void *data)
+{
+  KqControl *control = data;
+  uint8_t message[KQ_CONTROL_MESSAGE_BYTES];
+  memcpy (message + KQ_CONTROL_CODE_BYTES, bytes, size);
+  kq_control_seal (&control->keys, message, size);
+  if (kq_udp_send (control->fd, to, message, size + KQ_CONTROL_CODE_BYTES) < 0)
+    control->send_failures++;
+}
+
+static void
+ask_bulk (const KqAddress *to, const uint8_t *bytes, size_t size, void *data)
+{
+  KqControl *control = data;
+  uint8_t *message = talloc_array (control, uint8_t, size + KQ_CONTROL_CODE_BYTES);
+  if (message == NULL)
+    return;
+  memcpy (message + KQ_CONTROL_CODE_BYTES, bytes, size);
+  kq_control_seal (&control->keys, message, size);
+  kq_control_bulk_ask (control->bulk, to, message, size + KQ_CONTROL_CODE_BYTES);
+  talloc_free (message);
+}
+
+static void
+members_changed (void *data)
+{
+  KqControl *control = data;
+  control->members_stale = true;
+  if (control->ops.members_changed != NULL)
+    control->ops.members_changed (control->data);
+}
+
+static void
+document_changed (const KqDocument *document, void *data)
+{
+  KqControl *control = data;
+  if (control->ops.document_changed != NULL)
+    control->ops.document_changed (document, control->data);
+}
+
+static void
+woke (uint64_t incarnation, void *data)
+{
+  KqControl *control = data;
+  control->members_stale = true;
+  control->self = kq_group_self (control->group);
+  if (control->ops.woke != NULL)
+    control->ops.woke (incarnation, control->data);
+}
+
+static void
+log_event (int level, const char *name, const char *details, void *data)
+{
+  (void)data;
+  kq_log (level, name, "%s", details);
+}
+
+/* Return: the bytes behind the authentication code, or NULL when it is wrong. */
+static const uint8_t *
+authenticated (KqControl *control, const uint8_t *bytes, size_t *size, size_t most)
+{
+  if (*size > most + KQ_CONTROL_CODE_BYTES)
+    {
+      control->oversized++;
+      return NULL;
+    }
+  if (!kq_control_check (&control->keys, bytes, *size))
+    {
+      control->wrong_key++;
+      return NULL;
+    }
+  *size -= KQ_CONTROL_CODE_BYTES;
+  return bytes + KQ_CONTROL_CODE_BYTES;
+}
+
+static void
+take_datagram (const KqAddress *from, const uint8_t *bytes, size_t size, void *data)
+{
+  KqControl *control = data;
+  (void)from;
+  const uint8_t *body = authenticated (control, bytes, &size, KQ_CONTROL_DATAGRAM_BYTES);
+  if (body != NULL)
+    kq_group_datagram (control->group, body, size, kq_clock_now ());
+}
+
+static void
+socket_ready (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+  KqControl *control = data;
+  (void)ev;
+  (void)fde;
+  (void)flags;
+  for (unsigned i = 0; i < BATCHES_A_TURN; i++)
+    {
+      if (kq_udp_receive (control->fd, take_datagram, control) < KQ_UDP_BATCH)
+        return;
+    }
+}
+
+static int
+take_request (const uint8_t *bytes, size_t size, uint8_t *answer, size_t capacity, void *data)
+{
+  KqControl *control = data;
+  const uint8_t *body = authenticated (control, bytes, &size, KQ_BULK_BYTES);
+  if (body == NULL)
+    return 0;
+  int written = kq_group_bulk_request (control->group, body, size, answer + KQ_CONTROL_CODE_BYTES,
+                                       capacity - KQ_CONTROL_CODE_BYTES, kq_clock_now ());
+  if (written <= 0)
+    return 0;
+  kq_control_seal (&control->keys, answer, (size_t)written);
+  return written + KQ_CONTROL_CODE_BYTES;
+}
+
+static void
+take_answer (const uint8_t *bytes, size_t size, void *data)
+{
+  KqControl *control = data;
+  const uint8_t *body = authenticated (control, bytes, &size, KQ_BULK_BYTES);
+  if (body != NULL)
+    kq_group_bulk_answer (control->group, body, size, kq_clock_now ());
+}
+
+static void
+tick (struct tevent_context *ev, struct tevent_timer *timer, struct timeval due, void *data)
+{
+  KqControl *control = data;
+  (void)timer;
+  (void)due;
+  struct timeval next = tevent_timeval_current_ofs (0, KQ_GROUP_TICK_US);
+  tevent_add_timer (ev, control, next, tick, control);
+  kq_group_tick (control->group, kq_clock_now ());
+}
+
+static int
+close_control (KqControl *control)
+{
+  talloc_free (control->group); /* before the pool of identities that it refers to */
+  talloc_free (control->fde);
+  if (control->fd >= 0)
+    close (control->fd);
+  return 0;
+}
+
+static int
+open_transports (KqControl *control, struct tevent_context *ev, KqError *error)
+{
+  static const KqControlBulkOps bulk_ops = { .request = take_request, .answer = take_answer };
+  const KqAddress *address = &control->params.self.control;
+  control->fd = kq_udp_open (address, false, error);
+  if (control->fd < 0)
+    return -1;
+  control->bulk = kq_control_bulk_new (control, ev, address, KQ_BULK_BYTES + KQ_CONTROL_CODE_BYTES,
+                                       &bulk_ops, control, error);
+  if (control->bulk == NULL)
+    return -1;
+  control->fde = tevent_add_fd (ev, control, control->fd, TEVENT_FD_READ, socket_ready, control);
+  struct timeval first = tevent_timeval_current_ofs (0, KQ_GROUP_TICK_US);
+  if (control->fde == NULL || tevent_add_timer (ev, control, first, tick, control) == NULL)
+    return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for an event; raise the limit");
+  return 0;
+}
+
+static int
+start_group (KqControl *control, KqError *error)
+{
+  static const KqGroupOps ops = { .send = send_datagram,
+                                  .ask = ask_bulk,
+                                  .members_changed = members_changed,
+                                  .document_changed = document_changed,
+                                  .woke = woke,
+                                  .event = log_event };
+  const KqControlParams *params = &control->params;
+  KqGroupParams group = { .self = params->self, .seed_count = params->seed_count };
+  memcpy (group.seeds, params->seeds, sizeof params->seeds);
+  group.probe_interval_us = params->probe_interval_us;
+  group.suspicion_us = params->suspicion_us;
+  group.budget_bytes_per_s = params->budget_bytes_per_s;
+  group.overhead_bytes = UDP_IP_HEADER_BYTES + KQ_CONTROL_CODE_BYTES;
+  group.self.peer.incarnation = kq_clock_wall_us ();
+  randombytes_buf (&group.random_seed, sizeof group.random_seed);
+  KqIdentityPool *pool = kq_identity_pool_new (control);
+  if (pool != NULL)
+    control->group = kq_group_new (control, &group, pool, &ops, control, kq_clock_now ());
+  if (control->group == NULL)
+    return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for the members; raise the limit");
+  control->self = kq_group_self (control->group);
+  return 0;
+}
+
+KqControl *
+kq_control_new (const void *parent, struct tevent_context *ev, const KqControlParams *params,
+                const KqControlOps *ops, void *data, KqError *error)
+{
+  if (sodium_init () < 0)
+    {
+      kq_error_set (error, KQ_ERROR_SYSTEM, "libsodium cannot start; give it /dev/urandom");
+      return NULL;
+    }
+  KqControl *control = talloc_zero (parent, KqControl);
+  if (control == NULL)
+    {
+      kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for control; raise the limit");
+      return NULL;
+    }
+  control->fd = -1;
+  control->params = *params;
+  control->ops = *ops;
+  control->data = data;
+  control->members_stale = true;
+  kq_control_set_keys (control, params->key, params->has_old_key ? params->old_key : NULL);
+  talloc_set_destructor (control, close_control);
+  if (start_group (control, error) < 0 || open_transports (control, ev, error) < 0)
+    {
+      talloc_free (control);
+      return NULL;
+    }
+  return control;
+}
--- /dev/null
+++ b/src/version/config_pull.c
@@ -0,0 +1,187 @@
+/* Gets documents that were announced: first from the instance that the announcement names, then
+ * from random balancers. Agents want only their own service's document, but pass every announcement
+ * on. */
+
+#include <syslog.h>
+
+#include "kumquat/internal/group_impl.h"
+
+#define PULL_SERVICES  64   /* documents asked for at once */
+#define PULL_SCAN      2048 /* entries looked at in one tick */
+#define PULL_RETRY_US  (500 * KQ_MS)
+#define PULL_DOUBLINGS 4
+
+bool
+kq_config_wanted (const KqGroup *group, uint32_t service)
+{
+  const KqMember *self = &group->params.self;
+  return self->role == KQ_ROLE_BALANCER || self->service == 0 || self->service == service;
+}
+
+static bool
+missing (const KqGroup *group, const KqSpreadEntry *entry)
+{
+  return kq_revision_compare (entry->held, entry->known) < 0 && group->now >= entry->pull_after &&
+         kq_config_wanted (group, entry->service);
+}
+
+void
+kq_config_hear (KqGroup *group, uint32_t service, KqRevision revision, uint64_t holder)
+{
+  KqSpreadEntry *entry = kq_config_spread_hear (group->spread, service, revision, holder);
+  if (entry != NULL)
+    {
+      kq_gossip_add (group->gossip, KQ_GOSSIP_DOCUMENT, service);
+      return;
+    }
+  entry = kq_config_spread_find (group->spread, service);
+  if (entry == NULL || kq_revision_compare (revision, entry->known) != 0 || holder == 0)
+    return;
+  if (kq_random_below (&group->random, 2) == 0)
+    entry->holder = holder;
+}
+
+static KqRecord *
+live_record (const KqGroup *group, uint64_t id)
+{
+  KqRecord *record = kq_members_find (group->members, id);
+  if (record == NULL || record->id == group->self || !kq_record_live (record))
+    return NULL;
+  return record;
+}
+
+static KqRecord *
+source_of (KqGroup *group, const KqSpreadEntry *entry)
+{
+  KqRecord *source = entry->pulls == 0 ? live_record (group, entry->holder) : NULL;
+  if (source == NULL && group->balancer_count > 0)
+    {
+      uint64_t place = kq_random_below (&group->random, group->balancer_count);
+      source = live_record (group, group->balancers[place].id);
+    }
+  return source == NULL ? live_record (group, entry->holder) : source;
+}
+
+static unsigned
+collect (KqGroup *group, const KqSpreadEntry *first, uint32_t services[PULL_SERVICES])
+{
+  unsigned count = kq_config_spread_count (group->spread);
+  unsigned chosen = 0;
+  uint64_t holder = first->holder;
+  bool any = first->pulls > 0;
+  for (unsigned i = 0; i < count && i < PULL_SCAN && chosen < PULL_SERVICES; i++)
+    {
+      KqSpreadEntry *entry = kq_config_spread_at (group->spread, (group->pull_cursor + i) % count);
+      if (!missing (group, entry) || (!any && entry->holder != holder))
+        continue;
+      unsigned doublings = entry->pulls < PULL_DOUBLINGS ? entry->pulls : PULL_DOUBLINGS;
+      entry->pull_after = group->now + (PULL_RETRY_US << doublings);
+      entry->pulls++;
+      services[chosen++] = entry->service;
+    }
+  return chosen;
+}
+
+static KqSpreadEntry *
+first_missing (KqGroup *group)
+{
+  unsigned count = kq_config_spread_count (group->spread);
+  for (unsigned i = 0; i < count && i < PULL_SCAN; i++)
+    {
+      group->pull_cursor = (group->pull_cursor + 1) % count;
+      KqSpreadEntry *entry = kq_config_spread_at (group->spread, group->pull_cursor);
+      if (missing (group, entry))
+        return entry;
+    }
+  return NULL;
+}
+
+void
+kq_config_pull_tick (KqGroup *group)
+{
+  uint8_t bytes[KQ_CONTROL_DATAGRAM_BYTES];
+  uint32_t services[PULL_SERVICES];
+  KqWriter writer;
+  kq_group_refresh_balancers (group);
+  KqSpreadEntry *entry = group->leaving ? NULL : first_missing (group);
+  KqRecord *source = entry == NULL ? NULL : source_of (group, entry);
+  if (source == NULL)
+    return;
+  unsigned count = collect (group, entry, services);
+  KqControlHeader header = { .type = KQ_CONTROL_PULL, .sequence = ++group->sequence };
+  header.from = group->self;
+  header.reply = group->params.self.control;
+  header.to = source->id;
+  kq_writer_init (&writer, bytes, sizeof bytes);
+  kq_control_write_header (&writer, &header);
+  for (unsigned i = 0; i < count; i++)
+    kq_writer_uint (&writer, services[i]);
+  int size = kq_writer_finish (&writer);
+  if (size < 0 || !kq_token_bucket_take (&group->budget, KQ_PRIORITY_CONFIGURATION,
+                                         (size_t)size + group->params.overhead_bytes, group->now))
+    return;
+  group->stats.bulk_bytes_sent += (unsigned)size;
+  group->ops.ask (&source->who->member.control, bytes, (size_t)size, group->data);
+}
+
+static bool
+write_document (KqWriter *answer, const KqSpreadEntry *entry)
+{
+  KqWriter before = *answer;
+  kq_writer_uint (answer, entry->service);
+  kq_writer_revision (answer, entry->held);
+  kq_writer_bytes (answer, entry->bytes, entry->size);
+  if (!answer->overflow)
+    return true;
+  *answer = before;
+  return false;
+}
+
+int
+kq_config_pull_request (KqGroup *group, KqReader *reader, KqWriter *answer)
+{
+  KqControlHeader header = { .type = KQ_CONTROL_DOCUMENTS, .from = group->self };
+  header.reply = group->params.self.control;
+  kq_control_write_header (answer, &header);
+  while (reader->offset < reader->size)
+    {
+      uint32_t service = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
+      if (reader->failed)
+        return -1;
+      const KqSpreadEntry *entry = kq_config_spread_find (group->spread, service);
+      if (entry == NULL || entry->bytes == NULL)
+        continue;
+      if (!kq_token_bucket_take (&group->budget, KQ_PRIORITY_CONFIGURATION, entry->size,
+                                 group->now))
+        break;
+      if (!write_document (answer, entry))
+        break;
+      group->stats.documents_served++;
+    }
+  return 0;
+}
+
+static void
+accept (KqGroup *group, const KqDocument *document)
+{
+  KqError error = { 0 };
+  if (kq_group_publish (group, document, group->now, &error) < 0)
+    kq_group_log (group, LOG_WARNING, "document-refused", "service=%u error=%s message=\"%s\"",
+                  document->service, kq_error_kind_name (error.kind), error.message);
+}
+
+int
+kq_config_documents (KqGroup *group, KqReader *reader)
+{
+  while (reader->offset < reader->size)
+    {
+      KqDocument document;
+      document.service = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
+      kq_reader_revision (reader, &document.revision);
+      document.bytes = kq_reader_bytes (reader, KQ_DOCUMENT_BYTES, &document.size);
+      if (reader->failed)
+        return -1;
+      accept (group, &document);
+    }
+  return 0;
+}
--- /dev/null
+++ b/src/version/config_report.c
@@ -0,0 +1,333 @@
+/* Counts acknowledgements up a tree of two levels. For each service, rendezvous hashing over the
+ * live balancers names one root and in each failure domain one collector. An instance that holds a
+ * new revision tells its collector; a collector tells the root which instances it heard of. Ids
+ * travel, not counts, so a repeat or a change of tree counts nobody twice. Each step repeats until
+ * it is confirmed and starts again when the parent changes, so the loss of a root or a collector
+ * costs one more round of reports. Who wants to know asks the root. */
+
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/group_impl.h"
+
+#define REPORT_SCAN      2048          /* entries looked at in one tick */
+#define REPORT_IDS       96            /* ids of one service in one datagram */
+#define REPORT_ENTRIES   64            /* services in one datagram */
+#define REPORT_WAIT_US   (100 * KQ_MS) /* how long a collector gathers */
+#define REPORT_RETRY_US  (500 * KQ_MS)
+#define REPORT_DOUBLINGS 6
+#define QUERY_US         (250 * KQ_MS)
+
+static void
+update_parent (KqGroup *group, KqSpreadEntry *entry)
+{
+  if (entry->parent_generation == group->balancers_generation)
+    return;
+  uint64_t domain = kq_group_own_record (group)->who->domain;
+  uint64_t root = kq_group_root (group, entry->service);
+  uint64_t collector = kq_group_collector (group, entry->service, domain);
+  uint64_t parent = collector == 0 || collector == group->self ? root : collector;
+  entry->parent_generation = group->balancers_generation;
+  if (root == group->self)
+    parent = 0;
+  if (parent == entry->parent)
+    return;
+  entry->parent = parent;
+  entry->reported = 0;
+  entry->reports = 0;
+  entry->report_sequence = 0;
+  entry->report_after = group->now;
+}
+
+static void
+add_holder (KqGroup *group, KqSpreadEntry *entry, KqRevision revision, uint64_t id)
+{
+  KqRevision before = entry->holders.revision;
+  if (!kq_holders_add (group->spread, &entry->holders, revision, id))
+    return;
+  if (kq_revision_compare (before, revision) != 0)
+    {
+      entry->reported = 0;
+      entry->reports = 0;
+      entry->report_sequence = 0;
+    }
+  KqTime wait = id == group->self ? 0 : REPORT_WAIT_US;
+  if (entry->report_sequence == 0)
+    entry->report_after = group->now + wait;
+}
+
+static bool
+due (KqGroup *group, KqSpreadEntry *entry)
+{
+  update_parent (group, entry);
+  if (entry->held.revision != 0 && kq_config_wanted (group, entry->service))
+    add_holder (group, entry, entry->held, group->self);
+  return entry->parent != 0 && entry->reported < entry->holders.count &&
+         group->now >= entry->report_after;
+}
+
+static bool
+write_holders (KqGroup *group, KqWriter *writer, KqSpreadEntry *entry, uint64_t sequence)
+{
+  KqWriter before = *writer;
+  unsigned count = entry->holders.count - entry->reported;
+  if (count > REPORT_IDS)
+    count = REPORT_IDS;
+  kq_writer_uint (writer, entry->service);
+  kq_writer_revision (writer, entry->holders.revision);
+  kq_writer_uint (writer, count);
+  for (unsigned i = 0; i < count; i++)
+    kq_writer_uint (writer, entry->holders.ids[entry->reported + i]);
+  if (writer->overflow)
+    {
+      *writer = before;
+      return false;
+    }
+  unsigned doublings = entry->reports < REPORT_DOUBLINGS ? entry->reports : REPORT_DOUBLINGS;
+  entry->reports++;
+  entry->report_sequence = sequence;
+  entry->report_count = entry->reported + count;
+  entry->report_after = group->now + (REPORT_RETRY_US << doublings);
+  return true;
+}
+
+static void
+send_report (KqGroup *group, KqSpreadEntry *first)
+{
+  KqOutgoing out;
+  unsigned count = kq_config_spread_count (group->spread);
+  unsigned written = 0;
+  uint64_t sequence = ++group->sequence;
+  const KqRecord *parent = kq_members_find (group->members, first->parent);
+  KqControlHeader header = { .type = KQ_CONTROL_HOLDERS, .sequence = sequence };
+  if (parent == NULL)
+    return;
+  header.to = parent->id;
+  kq_group_begin_header (group, &out, &header);
+  for (unsigned i = 0; i < count && i < REPORT_SCAN && written < REPORT_ENTRIES; i++)
+    {
+      KqSpreadEntry *entry =
+          kq_config_spread_at (group->spread, (group->report_cursor + i) % count);
+      if (entry->parent != parent->id || !due (group, entry))
+        continue;
+      if (!write_holders (group, &out.writer, entry, sequence))
+        break;
+      written++;
+    }
+  group->stats.holders_messages++;
+  kq_group_finish (group, &out, &parent->who->member.control, KQ_PRIORITY_CONFIGURATION);
+}
+
+static void
+send_query (KqGroup *group, KqSpreadEntry *entry)
+{
+  KqOutgoing out;
+  const KqRecord *root = kq_members_find (group->members, kq_group_root (group, entry->service));
+  if (root == NULL || root->id == group->self)
+    return;
+  KqControlHeader header = { .type = KQ_CONTROL_QUERY, .sequence = ++group->sequence };
+  header.to = root->id;
+  kq_group_begin_header (group, &out, &header);
+  kq_writer_uint (&out.writer, entry->service);
+  kq_group_finish (group, &out, &root->who->member.control, KQ_PRIORITY_CONFIGURATION);
+}
+
+void
+kq_report_tick (KqGroup *group)
+{
+  unsigned count = kq_config_spread_count (group->spread);
+  bool sent = false;
+  kq_group_refresh_balancers (group);
+  for (unsigned i = 0; i < count && i < REPORT_SCAN; i++)
+    {
+      group->report_cursor = (group->report_cursor + 1) % count;
+      KqSpreadEntry *entry = kq_config_spread_at (group->spread, group->report_cursor);
+      if (entry->query_wanted && group->now >= entry->query_after)
+        {
+          entry->query_wanted = false;
+          entry->query_after = group->now + QUERY_US;
+          send_query (group, entry);
+        }
+      if (sent || !due (group, entry))
+        continue;
+      send_report (group, entry);
+      sent = true;
+    }
+}
+
+static void
+confirm (KqGroup *group, const KqControlHeader *header)
+{
+  KqOutgoing out;
+  KqControlHeader ok = { .type = KQ_CONTROL_HOLDERS_OK, .sequence = header->sequence };
+  ok.to = header->from;
+  kq_group_begin_header (group, &out, &ok);
+  kq_group_finish (group, &out, &header->reply, KQ_PRIORITY_CONFIGURATION);
+}
+
+int
+kq_report_holders (KqGroup *group, const KqControlHeader *header, KqReader *reader)
+{
+  while (reader->offset < reader->size)
+    {
+      KqRevision revision;
+      uint32_t service = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
+      kq_reader_revision (reader, &revision);
+      unsigned count = (unsigned)kq_reader_uint (reader, REPORT_IDS);
+      if (reader->failed)
+        return -1;
+      kq_config_hear (group, service, revision, header->from);
+      KqSpreadEntry *entry = kq_config_spread_find (group->spread, service);
+      for (unsigned i = 0; i < count; i++)
+        {
+          uint64_t id = kq_reader_uint (reader, UINT64_MAX);
+          if (reader->failed)
+            return -1;
+          if (entry != NULL)
+            add_holder (group, entry, revision, id);
+        }
+    }
+  confirm (group, header);
+  return 0;
+}
+
+void
+kq_report_holders_ok (KqGroup *group, const KqControlHeader *header)
+{
+  for (unsigned i = 0; i < kq_config_spread_count (group->spread); i++)
+    {
+      KqSpreadEntry *entry = kq_config_spread_at (group->spread, i);
+      if (entry->report_sequence != header->sequence || entry->parent != header->from)
+        continue;
+      entry->reported = entry->report_count;
+      entry->report_sequence = 0;
+      entry->reports = 0;
+      entry->report_after = group->now;
+    }
+}
+
+static void
+count_member (const KqRecord *record, bool holds, uint32_t service, KqInForce *in_force)
+{
+  const KqMember *member = &record->who->member;
+  bool balancer = member->role == KQ_ROLE_BALANCER;
+  if (!balancer && member->service != service)
+    return;
+  *(balancer ? &in_force->balancers : &in_force->agents) += 1;
+  if (holds)
+    *(balancer ? &in_force->balancers_in_force : &in_force->agents_in_force) += 1;
+  else if (in_force->laggard_count < KQ_LAGGARDS_MAX)
+    memcpy (in_force->laggards[in_force->laggard_count++], member->name, KQ_NAME_BYTES);
+}
+
+static void
+count_all (const KqGroup *group, const KqSpreadEntry *entry, KqInForce *in_force)
+{
+  memset (in_force, 0, sizeof *in_force);
+  in_force->revision = entry->known;
+  for (unsigned i = 0; i < kq_members_count (group->members); i++)
+    {
+      const KqRecord *record = kq_members_at (group->members, i);
+      bool self = record->id == group->self;
+      bool holds = self ? kq_revision_compare (entry->held, entry->known) == 0
+                        : kq_holders_has (&entry->holders, entry->known, record->id);
+      if (kq_record_live (record))
+        count_member (record, holds, entry->service, in_force);
+    }
+}
+
+int
+kq_group_in_force (KqGroup *group, uint32_t service, KqInForce *in_force)
+{
+  KqSpreadEntry *entry = kq_config_spread_find (group->spread, service);
+  if (entry == NULL)
+    return -1;
+  kq_group_refresh_balancers (group);
+  count_all (group, entry, in_force);
+  if (kq_group_root (group, service) == group->self)
+    return 0;
+  entry->query_wanted = true;
+  const KqInForce *summary = entry->summary;
+  if (summary == NULL || kq_revision_compare (summary->revision, entry->known) != 0)
+    return 0;
+  *in_force = *summary;
+  return 0;
+}
+
+static void
+write_summary (KqWriter *writer, uint32_t service, const KqInForce *in_force)
+{
+  kq_writer_uint (writer, service);
+  kq_writer_revision (writer, in_force->revision);
+  kq_writer_uint (writer, in_force->balancers);
+  kq_writer_uint (writer, in_force->balancers_in_force);
+  kq_writer_uint (writer, in_force->agents);
+  kq_writer_uint (writer, in_force->agents_in_force);
+  kq_writer_uint (writer, in_force->laggard_count);
+  for (unsigned i = 0; i < in_force->laggard_count; i++)
+    kq_writer_text (writer, in_force->laggards[i]);
+}
+
+int
+kq_report_query (KqGroup *group, const KqControlHeader *header, KqReader *reader)
+{
+  KqOutgoing out;
+  KqInForce in_force;
+  uint32_t service = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
+  if (kq_reader_finish (reader) < 0)
+    return -1;
+  KqSpreadEntry *entry = kq_config_spread_find (group->spread, service);
+  if (entry == NULL)
+    return 0;
+  count_all (group, entry, &in_force);
+  KqControlHeader answer = { .type = KQ_CONTROL_SUMMARY, .sequence = header->sequence };
+  answer.to = header->from;
+  kq_group_begin_header (group, &out, &answer);
+  write_summary (&out.writer, service, &in_force);
+  kq_group_finish (group, &out, &header->reply, KQ_PRIORITY_CONFIGURATION);
+  return 0;
+}
+
+int
+kq_report_summary (KqGroup *group, KqReader *reader)
+{
+  KqInForce in_force = { 0 };
+  uint32_t service = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
+  kq_reader_revision (reader, &in_force.revision);
+  in_force.balancers = (unsigned)kq_reader_uint (reader, KQ_MEMBERS_MAX);
+  in_force.balancers_in_force = (unsigned)kq_reader_uint (reader, KQ_MEMBERS_MAX);
+  in_force.agents = (unsigned)kq_reader_uint (reader, KQ_MEMBERS_MAX);
+  in_force.agents_in_force = (unsigned)kq_reader_uint (reader, KQ_MEMBERS_MAX);
+  in_force.laggard_count = (unsigned)kq_reader_uint (reader, KQ_LAGGARDS_MAX);
+  for (unsigned i = 0; i < in_force.laggard_count; i++)
+    kq_reader_text (reader, in_force.laggards[i], KQ_NAME_BYTES);
+  if (kq_reader_finish (reader) < 0)
+    return -1;
+  KqSpreadEntry *entry = kq_config_spread_find (group->spread, service);
+  if (entry == NULL)
+    return 0;
+  if (entry->summary == NULL)
+    entry->summary = talloc (group->spread, KqInForce);
+  if (entry->summary != NULL)
+    *entry->summary = in_force;
+  return 0;
+}
+
+int
+kq_group_publish (KqGroup *group, const KqDocument *document, KqTime now, KqError *error)
+{
+  group->now = now;
+  int taken = kq_config_spread_accept (group->spread, document, error);
+  if (taken < 0)
+    group->stats.documents_refused++;
+  if (taken <= 0)
+    return taken;
+  group->stats.documents_accepted++;
+  kq_gossip_add (group->gossip, KQ_GOSSIP_DOCUMENT, document->service);
+  KqSpreadEntry *entry = kq_config_spread_find (group->spread, document->service);
+  if (kq_config_wanted (group, document->service))
+    add_holder (group, entry, entry->held, group->self);
+  if (group->ops.document_changed != NULL)
+    group->ops.document_changed (document, group->data);
+  return 1;
+}
--- /dev/null
+++ b/src/version/digest.c
@@ -0,0 +1,245 @@
+/* Anti-entropy. An instance sends a hash of each of 64 ranges of its member table and of its table
+ * of document revisions to a random member, which answers with the content of the ranges that
+ * differ. A newcomer joins in the same way: to an empty table every range differs. Answers are
+ * bounded, so a newcomer asks several members, at the pace of the budget, until nothing differs. */
+
+#include "kumquat/internal/group_impl.h"
+
+#define SYNC_US       (10 * KQ_SECOND)
+#define SYNC_RETRY_US (500 * KQ_MS)
+#define SYNC_LEAST_US (200 * KQ_MS)
+#define ANSWER_BYTES  32768
+#define ANSWER_LEAST  2048
+#define SEED_SHARE    8 /* one in so many exchanges goes to a seed, should the group have split */
+#define FEW_RANGES    2 /* differences that an ordinary exchange will find as well */
+#define JOIN_ROUNDS   64
+#define LARGE_GROUP   256  /* live members from which a few differing ranges do not matter */
+#define RETRY_DOUBLES 8    /* fruitless attempts to join after which the pause doubles, and so on */
+#define SPREAD_BYTES  4096 /* answers up to this size are news that others may lack as well */
+#define SEED_ANSWER   4096 /* a seed gives a newcomer a few members, which can tell it the rest */
+
+void
+kq_digest_soon (KqGroup *group)
+{
+  KqTime soon = group->now + SYNC_RETRY_US;
+  if (group->next_sync > soon)
+    group->next_sync = soon;
+}
+
+static bool
+is_seed (const KqGroupParams *params, const KqAddress *address)
+{
+  for (unsigned i = 0; i < params->seed_count; i++)
+    {
+      if (kq_address_equal (address, &params->seeds[i]))
+        return true;
+    }
+  return false;
+}
+
+/* While it joins, an instance asks seeds and members in turn, so that instances which found each
+ * other first do not stay a group of their own. */
+static bool
+pick_address (KqGroup *group, KqAddress *address)
+{
+  const KqGroupParams *params = &group->params;
+  KqRecord *peer = kq_group_random_live (group);
+  unsigned share = group->joined ? SEED_SHARE : 2;
+  bool seed = peer == NULL || kq_random_below (&group->random, share) == 0;
+  if (seed && params->seed_count > 0)
+    {
+      *address = params->seeds[kq_random_below (&group->random, params->seed_count)];
+      if (!kq_address_equal (address, &params->self.control))
+        return true;
+    }
+  if (peer == NULL)
+    return false;
+  *address = peer->who->member.control;
+  return true;
+}
+
+static void
+ask (KqGroup *group)
+{
+  uint8_t bytes[2 * KQ_CONTROL_DATAGRAM_BYTES];
+  KqWriter writer;
+  KqAddress address;
+  KqItem own = { .kind = KQ_ITEM_MEMBER };
+  KqControlHeader header = { .type = KQ_CONTROL_SYNC, .sequence = ++group->sequence };
+  if (!pick_address (group, &address))
+    return;
+  header.from = group->self;
+  header.reply = group->params.self.control;
+  own.claim = kq_members_claim (kq_group_own_record (group));
+  kq_writer_init (&writer, bytes, sizeof bytes);
+  kq_control_write_header (&writer, &header);
+  kq_control_write_item (&writer, &own);
+  for (unsigned i = 0; i < KQ_DIGEST_RANGES; i++)
+    kq_writer_uint (&writer, kq_members_digest (group->members)[i]);
+  for (unsigned i = 0; i < KQ_DIGEST_RANGES; i++)
+    kq_writer_uint (&writer, kq_config_spread_digest (group->spread)[i]);
+  int size = kq_writer_finish (&writer);
+  if (size < 0 || !kq_token_bucket_take (&group->budget, KQ_PRIORITY_CONFIGURATION,
+                                         (size_t)size + group->params.overhead_bytes, group->now))
+    return;
+  group->stats.syncs++;
+  group->stats.bulk_bytes_sent += (unsigned)size;
+  group->ops.ask (&address, bytes, (size_t)size, group->data);
+}
+
+void
+kq_digest_tick (KqGroup *group)
+{
+  if (group->now < group->next_sync || group->leaving)
+    return;
+  KqTime pause = SYNC_US / 2 + (KqTime)kq_random_below (&group->random, (uint64_t)SYNC_US);
+  KqTime retry = SYNC_RETRY_US << (group->sync_tries / RETRY_DOUBLES);
+  if (!group->joined && retry < pause)
+    {
+      pause = retry;
+      group->sync_tries++;
+    }
+  group->next_sync = group->now + pause;
+  ask (group);
+}
+
+static void
+write_members (const KqGroup *group, uint64_t ranges, unsigned first, KqWriter *writer)
+{
+  unsigned count = kq_members_count (group->members);
+  for (unsigned i = 0; i < count; i++)
+    {
+      KqRecord *record = kq_members_at (group->members, (first + i) % count);
+      if ((ranges >> kq_digest_range (record->id) & 1) == 0)
+        continue;
+      KqItem item = { .kind = KQ_ITEM_MEMBER, .claim = kq_members_claim (record) };
+      if (record->domain_lost || record->state == KQ_MEMBER_SUSPECT)
+        item.claim.member.state = KQ_MEMBER_ALIVE;
+      if (!kq_control_write_item (writer, &item))
+        return;
+    }
+}
+
+static void
+write_documents (const KqGroup *group, uint64_t ranges, unsigned first, KqWriter *writer)
+{
+  unsigned count = kq_config_spread_count (group->spread);
+  for (unsigned i = 0; i < count; i++)
+    {
+      const KqSpreadEntry *entry = kq_config_spread_at (group->spread, (first + i) % count);
+      if ((ranges >> kq_config_spread_range (entry->service) & 1) == 0 ||
+          entry->known.revision == 0)
+        continue;
+      KqItem item = { .kind = KQ_ITEM_DOCUMENT, .service = entry->service };
+      item.revision = entry->known;
+      item.source =
+          kq_revision_compare (entry->held, entry->known) == 0 ? group->self : entry->holder;
+      if (!kq_control_write_item (writer, &item))
+        return;
+    }
+}
+
+static void
+write_domains (const KqGroup *group, KqWriter *writer)
+{
+  for (unsigned i = 0; i < group->domain_count; i++)
+    {
+      KqItem item = { .kind = KQ_ITEM_DOMAIN, .domain = group->domains[i].domain };
+      item.event = group->domains[i].event;
+      if (item.event != 0 && !kq_control_write_item (writer, &item))
+        return;
+    }
+}
+
+static uint64_t
+differing (KqReader *reader, const uint64_t *own)
+{
+  uint64_t ranges = 0;
+  for (unsigned i = 0; i < KQ_DIGEST_RANGES; i++)
+    ranges |= (uint64_t)(kq_reader_uint (reader, UINT64_MAX) != own[i]) << i;
+  return ranges;
+}
+
+/* Limits an answer to what the budget holds; Return: false when it holds too little. */
+static bool
+limit_answer (const KqGroup *group, uint64_t ranges, KqWriter *answer)
+{
+  const KqGroupParams *params = &group->params;
+  bool newcomer = ranges == UINT64_MAX && is_seed (params, &params->self.control);
+  int64_t spare = group->budget.tokens - group->budget.burst / 2;
+  if (spare < ANSWER_LEAST)
+    return false;
+  size_t most = spare < ANSWER_BYTES ? (size_t)spare : ANSWER_BYTES;
+  if (newcomer && most > SEED_ANSWER)
+    most = SEED_ANSWER;
+  if (answer->capacity > most)
+    answer->capacity = most;
+  return true;
+}
+
+int
+kq_digest_request (KqGroup *group, KqReader *reader, KqWriter *answer)
+{
+  KqItem item;
+  if (kq_control_read_item (reader, &item) < 0 || item.kind != KQ_ITEM_MEMBER)
+    return -1;
+  uint64_t members = differing (reader, kq_members_digest (group->members));
+  uint64_t documents = differing (reader, kq_config_spread_digest (group->spread));
+  if (kq_reader_finish (reader) < 0)
+    return -1;
+  kq_group_apply_item (group, &item, true);
+  if (group->leaving || !limit_answer (group, members, answer))
+    return 0;
+  KqControlHeader header = { .type = KQ_CONTROL_ITEMS, .from = group->self };
+  header.reply = group->params.self.control;
+  kq_control_write_header (answer, &header);
+  kq_writer_uint (answer, members);
+  kq_writer_uint (answer, documents);
+  unsigned first = (unsigned)(kq_random_next (&group->random) >> 40);
+  write_documents (group, documents, first, answer);
+  write_members (group, members, first, answer);
+  write_domains (group, answer);
+  kq_token_bucket_take (&group->budget, KQ_PRIORITY_REST, answer->size, group->now);
+  return 0;
+}
+
+static unsigned
+bits_in (uint64_t value)
+{
+  return (unsigned)__builtin_popcountll (value);
+}
+
+/* Decides whether the newcomer has joined, and when it asks next. */
+static void
+advance_join (KqGroup *group, bool by_seed, bool same, size_t size)
+{
+  group->sync_rounds++;
+  group->sync_tries = 0;
+  group->joined = (by_seed && same) || group->sync_rounds >= JOIN_ROUNDS;
+  KqTime pace = (KqTime)size * KQ_SECOND / (group->params.budget_bytes_per_s + 1);
+  if (!group->joined)
+    group->next_sync = group->now + (pace > SYNC_LEAST_US ? pace : SYNC_LEAST_US);
+}
+
+int
+kq_digest_answer (KqGroup *group, const KqControlHeader *header, KqReader *reader)
+{
+  bool spread = reader->size <= SPREAD_BYTES;
+  uint64_t members = kq_reader_uint (reader, UINT64_MAX);
+  uint64_t documents = kq_reader_uint (reader, UINT64_MAX);
+  if (reader->failed)
+    return -1;
+  while (reader->offset < reader->size)
+    {
+      KqItem item;
+      if (kq_control_read_item (reader, &item) < 0)
+        return -1;
+      kq_group_apply_item (group, &item, spread);
+    }
+  group->last_answer = group->now;
+  bool few = kq_members_live (group->members) > LARGE_GROUP && bits_in (members) <= FEW_RANGES;
+  bool same = documents == 0 && (members == 0 || few);
+  if (!group->joined)
+    advance_join (group, is_seed (&group->params, &header->reply), same, reader->size);
+  return 0;
+}
--- /dev/null
+++ b/src/version/group.c
@@ -0,0 +1,276 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <syslog.h>
+#include <talloc.h>
+
+#include "kumquat/internal/group_impl.h"
+
+#define BURST_S         4  /* seconds of the budget that are kept for later */
+#define DEATHS_PER_S    10 /* deaths that one instance declares */
+#define FORGET_US       ((KqTime)3 * 3600 * KQ_SECOND)
+#define FORGET_EVERY_US (60 * KQ_SECOND)
+#define PAUSE_US        (500 * KQ_MS) /* longer between two ticks: the process was paused */
+#define PAUSE_RECENT_US (60 * KQ_SECOND)
+#define PICK_TRIES      16
+#define JOIN_US         (3 * KQ_SECOND) /* without an answer from a seed there is no group yet */
+
+static void
+add_self (KqGroup *group)
+{
+  KqClaim claim = { .member = group->params.self, .full = true };
+  claim.member.state = KQ_MEMBER_ALIVE;
+  claim.member.peer.id = group->self;
+  kq_members_apply (group->members, &claim, group->now);
+  group->balancers_stale = true;
+}
+
+KqGroup *
+kq_group_new (const void *parent, const KqGroupParams *params, KqIdentityPool *pool,
+              const KqGroupOps *ops, void *data, KqTime now)
+{
+  KqGroup *group = talloc_zero (parent, KqGroup);
+  if (group == NULL)
+    return NULL;
+  group->params = *params;
+  group->ops = *ops;
+  group->data = data;
+  group->now = now;
+  group->started = now;
+  group->last_tick = now;
+  group->last_answer = now;
+  group->announced_at = now;
+  group->self = kq_hash_name (params->self.name);
+  kq_random_seed (&group->random, params->random_seed ^ group->self);
+  group->sequence = kq_random_next (&group->random) >> 32;
+  group->members = kq_members_new (group, pool);
+  group->gossip = kq_gossip_new (group);
+  group->spread = kq_config_spread_new (group);
+  if (group->members == NULL || group->gossip == NULL || group->spread == NULL)
+    {
+      talloc_free (group);
+      return NULL;
+    }
+  TAILQ_INIT (&group->suspicions);
+  kq_token_bucket_init (&group->budget, params->budget_bytes_per_s, BURST_S, now);
+  kq_token_bucket_init (&group->deaths, DEATHS_PER_S, 1, now);
+  KqTime interval = params->probe_interval_us;
+  group->next_probe = now + (KqTime)kq_random_below (&group->random, (uint64_t)interval);
+  group->next_gossip = group->next_probe;
+  group->next_sync = now;
+  group->changed = true;
+  group->next_forget = now + FORGET_EVERY_US;
+  add_self (group);
+  return group;
+}
+
+void
+kq_group_log (KqGroup *group, int level, const char *name, const char *format, ...)
+{
+  char details[KQ_ERROR_MESSAGE_BYTES];
+  va_list args;
+  va_start (args, format);
+  vsnprintf (details, sizeof details, format, args);
+  va_end (args);
+  if (group->ops.event != NULL)
+    group->ops.event (level, name, details, group->data);
+}
+
+KqRecord *
+kq_group_own_record (const KqGroup *group)
+{
+  return kq_members_find (group->members, group->self);
+}
+
+KqRecord *
+kq_group_random_live (KqGroup *group)
+{
+  unsigned count = kq_members_count (group->members);
+  for (unsigned i = 0; i < PICK_TRIES; i++)
+    {
+      unsigned place = (unsigned)kq_random_below (&group->random, count);
+      KqRecord *record = kq_members_at (group->members, place);
+      if (record->id != group->self && kq_record_live (record))
+        return record;
+    }
+  return NULL;
+}
+
+void
+kq_group_announce_self (KqGroup *group)
+{
+  group->announced_at = group->now;
+  kq_gossip_add (group->gossip, KQ_GOSSIP_MEMBER, group->self);
+}
+
+/* Takes the next version of this life. */
+static void
+renew_self (KqGroup *group, uint32_t at_least)
+{
+  KqClaim claim = kq_members_claim (kq_group_own_record (group));
+  claim.version = (at_least > claim.version ? at_least : claim.version) + 1;
+  claim.member = group->params.self;
+  claim.member.state = group->leaving ? KQ_MEMBER_LEFT : KQ_MEMBER_ALIVE;
+  kq_members_apply (group->members, &claim, group->now);
+  kq_group_announce_self (group);
+}
+
+void
+kq_group_new_life (KqGroup *group, uint64_t at_least)
+{
+  KqMember *self = &group->params.self;
+  uint64_t next = self->peer.incarnation + 1;
+  self->peer.incarnation = next > at_least ? next : at_least;
+  group->stats.wakes++;
+  group->paused_at = 0;
+  kq_gossip_clear (group->gossip);
+  kq_swim_reset (group);
+  add_self (group);
+  kq_group_announce_self (group);
+  group->changed = true;
+  group->joined = false;
+  group->sync_rounds = 0;
+  kq_digest_soon (group);
+  kq_group_log (group, LOG_WARNING, "new-incarnation", "incarnation=%llu",
+                (unsigned long long)self->peer.incarnation);
+  if (group->ops.woke != NULL)
+    group->ops.woke (self->peer.incarnation, group->data);
+}
+
+static void
+refute (KqGroup *group, const KqClaim *claim)
+{
+  if (group->params.no_refutation)
+    return;
+  group->stats.refutations++;
+  renew_self (group, claim->version);
+  kq_group_log (group, LOG_INFO, "refuted", "state=%s version=%u",
+                claim->member.state == KQ_MEMBER_DEAD ? "dead" : "suspect", claim->version);
+}
+
+/* What others say of this instance. */
+static void
+apply_own_claim (KqGroup *group, const KqClaim *claim)
+{
+  const KqRecord *own = kq_group_own_record (group);
+  uint64_t incarnation = claim->member.peer.incarnation;
+  KqMemberState state = claim->member.state;
+  if (group->leaving || incarnation < own->incarnation)
+    return;
+  bool other_life = incarnation > own->incarnation;
+  bool paused = group->paused_at != 0 && group->now - group->paused_at < PAUSE_RECENT_US;
+  if (other_life && state == KQ_MEMBER_ALIVE)
+    {
+      group->stats.name_conflicts++;
+      kq_group_log (group, LOG_ERR, "name-conflict", "member=%s remedy=\"%s\"",
+                    own->who->member.name, "give every instance a unique name");
+    }
+  if (other_life || state == KQ_MEMBER_LEFT || (state == KQ_MEMBER_DEAD && paused))
+    kq_group_new_life (group, incarnation + 1);
+  else if (state != KQ_MEMBER_ALIVE && claim->version >= own->version)
+    refute (group, claim);
+}
+
+static void
+apply_claim (KqGroup *group, const KqItem *item, bool spread)
+{
+  const KqClaim *claim = &item->claim;
+  uint64_t id = claim->member.peer.id;
+  if (id == group->self)
+    {
+      apply_own_claim (group, claim);
+      return;
+    }
+  KqRecord *before = kq_members_find (group->members, id);
+  bool was_live = before != NULL && kq_record_live (before);
+  bool applied = kq_members_apply (group->members, claim, group->now);
+  KqRecord *after = kq_members_find (group->members, id);
+  if (after == NULL)
+    return;
+  bool suspected = after->state == KQ_MEMBER_SUSPECT;
+  if (applied)
+    {
+      group->changed = group->changed || !suspected;
+      group->balancers_stale = group->balancers_stale || was_live != kq_record_live (after);
+      if (spread)
+        kq_gossip_add (group->gossip, KQ_GOSSIP_MEMBER, id);
+    }
+  bool same = after->incarnation == claim->member.peer.incarnation &&
+              after->version == claim->version && claim->member.state == KQ_MEMBER_SUSPECT;
+  if (suspected && same)
+    kq_suspicion_claimed (group, after, item->source);
+}
+
+void
+kq_group_apply_item (KqGroup *group, const KqItem *item, bool spread)
+{
+  switch (item->kind)
+    {
+    case KQ_ITEM_MEMBER:
+    case KQ_ITEM_STATE:
+      apply_claim (group, item, spread);
+      break;
+    case KQ_ITEM_DOCUMENT:
+      kq_config_hear (group, item->service, item->revision, item->source);
+      break;
+    case KQ_ITEM_DOMAIN:
+      kq_domain_apply (group, item->domain, item->event);
+      break;
+    }
+}
+
+static void
+notice_pause (KqGroup *group, KqTime gap)
+{
+  if (gap < PAUSE_US)
+    return;
+  kq_swim_shift (group, gap);
+  kq_group_log (group, LOG_WARNING, "paused", "ms=%lld", (long long)(gap / KQ_MS));
+  if (gap >= 2 * group->params.suspicion_us && kq_members_live (group->members) > 1)
+    kq_group_new_life (group, 0);
+  else if (gap >= group->params.suspicion_us / 2)
+    {
+      group->paused_at = group->now;
+      kq_digest_soon (group);
+    }
+}
+
+/* A newcomer is settled when it has joined, or when there is nobody to join through. */
+static void
+update_settled (KqGroup *group)
+{
+  const KqGroupParams *params = &group->params;
+  bool others = false;
+  for (unsigned i = 0; i < params->seed_count; i++)
+    others = others || !kq_address_equal (&params->seeds[i], &params->self.control);
+  bool settled = group->joined || !others || group->now - group->started >= JOIN_US;
+  group->changed = group->changed || settled != group->settled;
+  group->settled = settled;
+}
+
+void
+kq_group_tick (KqGroup *group, KqTime now)
+{
+  KqTime gap = now - group->last_tick - KQ_GROUP_TICK_US;
+  group->now = now;
+  group->last_tick = now;
+  notice_pause (group, gap);
+  kq_swim_tick (group);
+  kq_domain_tick (group);
+  kq_suspicion_tick (group);
+  kq_group_gossip_tick (group);
+  kq_digest_tick (group);
+  kq_config_pull_tick (group);
+  kq_report_tick (group);
+  update_settled (group);
+  if (now >= group->next_forget)
+    {
+      group->next_forget = now + FORGET_EVERY_US;
+      kq_members_forget (group->members, now - FORGET_US);
+    }
+  if (!group->changed)
+    return;
+  group->changed = false;
+  if (group->ops.members_changed != NULL)
+    group->ops.members_changed (group->data);
+}
--- /dev/null
+++ b/src/version/group_query.c
@@ -0,0 +1,117 @@
+/* What a process asks its group, and what it tells it. */
+
+#include <string.h>
+#include <syslog.h>
+
+#include "kumquat/internal/group_impl.h"
+
+unsigned
+kq_group_members (const KqGroup *group, KqMember *out, unsigned capacity)
+{
+  unsigned written = 0;
+  for (unsigned i = 0; i < kq_members_count (group->members) && written < capacity; i++)
+    {
+      const KqRecord *record = kq_members_at (group->members, i);
+      if (kq_record_live (record))
+        kq_members_view (record, &out[written++]);
+    }
+  return written;
+}
+
+unsigned
+kq_group_live (const KqGroup *group)
+{
+  return kq_members_live (group->members);
+}
+
+KqMember
+kq_group_self (const KqGroup *group)
+{
+  KqMember self;
+  kq_members_view (kq_group_own_record (group), &self);
+  return self;
+}
+
+KqMemberState
+kq_group_state_of (const KqGroup *group, uint64_t id)
+{
+  const KqRecord *record = kq_members_find (group->members, id);
+  return record == NULL ? KQ_MEMBER_LEFT : (KqMemberState)record->state;
+}
+
+void
+kq_group_preload (KqGroup *group, const KqMember *member, KqTime now)
+{
+  KqClaim claim = { .member = *member, .full = true };
+  claim.member.state = KQ_MEMBER_ALIVE;
+  claim.member.peer.id = kq_hash_name (member->name);
+  if (claim.member.peer.id == group->self)
+    return;
+  kq_members_apply (group->members, &claim, now);
+  group->balancers_stale = true;
+  group->joined = true;
+}
+
+/* Announces what @group->params.self says now. */
+static void
+renew (KqGroup *group, KqTime now)
+{
+  KqClaim claim = kq_members_claim (kq_group_own_record (group));
+  group->now = now;
+  claim.version++;
+  claim.member = group->params.self;
+  claim.member.peer.id = group->self;
+  claim.member.state = group->leaving ? KQ_MEMBER_LEFT : KQ_MEMBER_ALIVE;
+  kq_members_apply (group->members, &claim, now);
+  group->changed = true;
+  kq_group_announce_self (group);
+}
+
+void
+kq_group_set_phase (KqGroup *group, KqTargetPhase phase, KqTime now)
+{
+  if (group->params.self.phase == phase || group->leaving)
+    return;
+  group->params.self.phase = phase;
+  renew (group, now);
+}
+
+void
+kq_group_set_service (KqGroup *group, uint32_t service, KqTime now)
+{
+  if (group->params.self.service == service || group->leaving)
+    return;
+  group->params.self.service = service;
+  renew (group, now);
+}
+
+void
+kq_group_leave (KqGroup *group, KqTime now)
+{
+  if (group->leaving)
+    return;
+  group->leaving = true;
+  renew (group, now);
+  kq_group_log (group, LOG_NOTICE, "leaving", "live=%u", kq_members_live (group->members));
+}
+
+KqRevision
+kq_group_held (const KqGroup *group, uint32_t service)
+{
+  const KqSpreadEntry *entry = kq_config_spread_find (group->spread, service);
+  return entry == NULL ? (KqRevision){ 0 } : entry->held;
+}
+
+KqGroupStats
+kq_group_stats (const KqGroup *group)
+{
+  KqGroupStats stats = group->stats;
+  stats.gossip_queued = kq_gossip_length (group->gossip);
+  return stats;
+}
+
+const KqTokenBucket *
+kq_group_budget (const KqGroup *group)
+{
+  return &group->budget;
+}
--- /dev/null
+++ b/src/version/group_receive.c
@@ -0,0 +1,139 @@
+/* Decodes what comes from the network and hands it to the parts. */
+
+#include "kumquat/internal/group_impl.h"
+
+/* Reads all items before any is applied, so that a malformed datagram changes nothing. */
+static int
+check_items (KqReader reader)
+{
+  KqItem item;
+  while (reader.offset < reader.size)
+    {
+      if (kq_control_read_item (&reader, &item) < 0)
+        return -1;
+    }
+  return 0;
+}
+
+static int
+apply_items (KqGroup *group, KqReader *reader)
+{
+  KqItem item;
+  if (check_items (*reader) < 0)
+    return -1;
+  while (reader->offset < reader->size && kq_control_read_item (reader, &item) == 0)
+    kq_group_apply_item (group, &item, true);
+  return 0;
+}
+
+static int
+take_probe (KqGroup *group, const KqControlHeader *header, KqReader *reader)
+{
+  if (apply_items (group, reader) < 0)
+    return -1;
+  kq_swim_heard (group, header->from);
+  if (header->type == KQ_CONTROL_PING)
+    kq_swim_ping (group, header);
+  else if (header->type == KQ_CONTROL_PING_REQ)
+    kq_swim_ping_req (group, header);
+  else if (header->type == KQ_CONTROL_ACK)
+    kq_swim_ack (group, header);
+  return 0;
+}
+
+static int
+take (KqGroup *group, const KqControlHeader *header, KqReader *reader)
+{
+  switch (header->type)
+    {
+    case KQ_CONTROL_PING:
+    case KQ_CONTROL_PING_REQ:
+    case KQ_CONTROL_ACK:
+    case KQ_CONTROL_GOSSIP:
+      return take_probe (group, header, reader);
+    case KQ_CONTROL_HOLDERS:
+      return kq_report_holders (group, header, reader);
+    case KQ_CONTROL_HOLDERS_OK:
+      kq_report_holders_ok (group, header);
+      return 0;
+    case KQ_CONTROL_QUERY:
+      return kq_report_query (group, header, reader);
+    case KQ_CONTROL_SUMMARY:
+      return kq_report_summary (group, reader);
+    default:
+      return -1;
+    }
+}
+
+void
+kq_group_datagram (KqGroup *group, const uint8_t *bytes, size_t size, KqTime now)
+{
+  KqReader reader;
+  KqControlHeader header;
+  group->now = now;
+  group->stats.datagrams_received++;
+  kq_reader_init (&reader, bytes, size);
+  if (kq_control_read_header (&reader, &header) < 0)
+    {
+      group->stats.malformed++;
+      return;
+    }
+  if ((header.to != 0 && header.to != group->self) || header.from == group->self)
+    {
+      group->stats.misdirected++;
+      return;
+    }
+  if (take (group, &header, &reader) < 0)
+    group->stats.malformed++;
+}
+
+static int
+answer_request (KqGroup *group, const KqControlHeader *header, KqReader *reader, KqWriter *writer)
+{
+  if (header->type == KQ_CONTROL_SYNC)
+    return kq_digest_request (group, reader, writer);
+  if (header->type == KQ_CONTROL_PULL)
+    return kq_config_pull_request (group, reader, writer);
+  return -1;
+}
+
+int
+kq_group_bulk_request (KqGroup *group, const uint8_t *bytes, size_t size, uint8_t *answer,
+                       size_t capacity, KqTime now)
+{
+  KqReader reader;
+  KqWriter writer;
+  KqControlHeader header;
+  group->now = now;
+  kq_reader_init (&reader, bytes, size);
+  kq_writer_init (&writer, answer, capacity);
+  if (kq_control_read_header (&reader, &header) < 0 ||
+      answer_request (group, &header, &reader, &writer) < 0)
+    {
+      group->stats.malformed++;
+      return -1;
+    }
+  int written = kq_writer_finish (&writer);
+  if (written > 0)
+    group->stats.bulk_bytes_sent += (unsigned)written;
+  return written < 0 ? 0 : written;
+}
+
+void
+kq_group_bulk_answer (KqGroup *group, const uint8_t *bytes, size_t size, KqTime now)
+{
+  KqReader reader;
+  KqControlHeader header;
+  int status = -1;
+  group->now = now;
+  kq_reader_init (&reader, bytes, size);
+  if (kq_control_read_header (&reader, &header) == 0)
+    {
+      if (header.type == KQ_CONTROL_ITEMS)
+        status = kq_digest_answer (group, &header, &reader);
+      else if (header.type == KQ_CONTROL_DOCUMENTS)
+        status = kq_config_documents (group, &reader);
+    }
+  if (status < 0)
+    group->stats.malformed++;
+}
--- /dev/null
+++ b/src/version/group_send.c
@@ -0,0 +1,159 @@
+/* Builds datagrams: a header, what the receiver must hear first, and as many queued changes as the
+ * datagram and the budget allow. */
+
+#include <string.h>
+
+#include "kumquat/internal/group_impl.h"
+
+#define GOSSIP_FANOUT 3
+#define URGENT_US     (5 * KQ_SECOND) /* how long an own change rides on every answer */
+#define GOSSIP_MIN_US (50 * KQ_MS)
+#define GOSSIP_MAX_US (200 * KQ_MS)
+
+void
+kq_group_begin_header (KqGroup *group, KqOutgoing *out, KqControlHeader *header)
+{
+  const KqRecord *own = kq_group_own_record (group);
+  header->from = group->self;
+  header->reply = own->who->member.control;
+  kq_writer_init (&out->writer, out->bytes, sizeof out->bytes);
+  kq_control_write_header (&out->writer, header);
+}
+
+/* What is known against the receiver goes first, so that it can refute with its answer. */
+static void
+write_charge (const KqGroup *group, KqOutgoing *out, const KqRecord *to)
+{
+  KqItem item = { .kind = KQ_ITEM_STATE, .source = group->self };
+  if (to == NULL || to->state == KQ_MEMBER_ALIVE || to->domain_lost)
+    return;
+  kq_members_view (to, &item.claim.member);
+  item.claim.version = to->version;
+  kq_control_write_item (&out->writer, &item);
+}
+
+void
+kq_group_begin (KqGroup *group, KqOutgoing *out, KqControlType type, uint64_t sequence,
+                const KqRecord *to)
+{
+  KqControlHeader header = { .type = type, .sequence = sequence, .about = group->self };
+  KqItem item;
+  header.to = to == NULL ? 0 : to->id;
+  kq_group_begin_header (group, out, &header);
+  write_charge (group, out, to);
+  if (group->announced_at != 0 && group->now - group->announced_at < URGENT_US &&
+      kq_group_member_item (group, group->self, &item))
+    kq_control_write_item (&out->writer, &item);
+}
+
+bool
+kq_group_member_item (const KqGroup *group, uint64_t id, KqItem *item)
+{
+  const KqRecord *record = kq_members_find (group->members, id);
+  if (record == NULL || record->domain_lost)
+    return false;
+  memset (item, 0, sizeof *item);
+  item->claim = kq_members_claim (record);
+  item->kind = record->state == KQ_MEMBER_ALIVE ? KQ_ITEM_MEMBER : KQ_ITEM_STATE;
+  if (record->state != KQ_MEMBER_SUSPECT)
+    return true;
+  KqSuspicion *suspicion = kq_suspicion_find ((KqGroup *)group, id);
+  if (suspicion != NULL && suspicion->from_count > 0)
+    item->source = suspicion->from[suspicion->from_count - 1];
+  return true;
+}
+
+static bool
+queued_item (const KqGroup *group, const KqGossipItem *queued, KqItem *item)
+{
+  memset (item, 0, sizeof *item);
+  if (queued->kind == KQ_GOSSIP_MEMBER)
+    return kq_group_member_item (group, queued->key, item);
+  if (queued->kind == KQ_GOSSIP_DOMAIN)
+    {
+      item->kind = KQ_ITEM_DOMAIN;
+      item->domain = queued->key;
+      item->event = kq_domain_event (group, queued->key);
+      return true;
+    }
+  const KqSpreadEntry *entry = kq_config_spread_find (group->spread, (uint32_t)queued->key);
+  if (entry == NULL)
+    return false;
+  item->kind = KQ_ITEM_DOCUMENT;
+  item->service = entry->service;
+  item->revision = entry->known;
+  bool held = kq_revision_compare (entry->held, entry->known) == 0;
+  item->source = held ? group->self : entry->holder;
+  return true;
+}
+
+/* Return: bytes that gossip may take now without touching what is kept for liveness. */
+static int64_t
+spare_bytes (const KqGroup *group)
+{
+  int64_t spare = group->budget.tokens - group->budget.burst / 2;
+  return spare > 0 ? spare : 0;
+}
+
+void
+kq_group_piggyback (KqGroup *group, KqOutgoing *out)
+{
+  unsigned limit = kq_gossip_sends (kq_members_live (group->members));
+  int64_t spare = spare_bytes (group);
+  size_t start = out->writer.size;
+  KqGossipItem *queued = kq_gossip_next (group->gossip, NULL);
+  while (queued != NULL && (int64_t)(out->writer.size - start) < spare)
+    {
+      KqItem item;
+      KqGossipItem *next = kq_gossip_next (group->gossip, queued);
+      if (!queued_item (group, queued, &item))
+        kq_gossip_drop (group->gossip, queued);
+      else if (!kq_control_write_item (&out->writer, &item))
+        return;
+      else
+        kq_gossip_sent (group->gossip, queued, limit);
+      queued = next;
+    }
+}
+
+bool
+kq_group_finish (KqGroup *group, KqOutgoing *out, const KqAddress *to, KqPriority priority)
+{
+  int size = kq_writer_finish (&out->writer);
+  if (size < 0)
+    return false;
+  size_t charged = (size_t)size + group->params.overhead_bytes;
+  if (!kq_token_bucket_take (&group->budget, priority, charged, group->now))
+    return false;
+  group->stats.datagrams_sent++;
+  group->stats.bytes_sent += charged;
+  group->ops.send (to, out->bytes, (size_t)size, group->data);
+  return true;
+}
+
+static KqTime
+gossip_interval (const KqGroup *group)
+{
+  KqTime interval = group->params.probe_interval_us / 2;
+  if (interval < GOSSIP_MIN_US)
+    return GOSSIP_MIN_US;
+  return interval > GOSSIP_MAX_US ? GOSSIP_MAX_US : interval;
+}
+
+void
+kq_group_gossip_tick (KqGroup *group)
+{
+  if (group->now < group->next_gossip)
+    return;
+  group->next_gossip = group->now + gossip_interval (group);
+  for (unsigned i = 0; i < GOSSIP_FANOUT && kq_gossip_length (group->gossip) > 0; i++)
+    {
+      KqOutgoing out;
+      KqRecord *peer = kq_group_random_live (group);
+      if (peer == NULL || spare_bytes (group) < KQ_CONTROL_DATAGRAM_BYTES)
+        return;
+      kq_group_begin (group, &out, KQ_CONTROL_GOSSIP, 0, peer);
+      kq_group_piggyback (group, &out);
+      kq_group_finish (group, &out, &peer->who->member.control, KQ_PRIORITY_CONFIGURATION);
+    }
+}
--- /dev/null
+++ b/src/version/members.c
@@ -0,0 +1,259 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/members.h"
+
+struct KqMembers
+{
+  KqIdentityPool *pool;
+  KqRecord *records; /* ordered by id */
+  unsigned count;
+  unsigned capacity;
+  unsigned live;
+  uint64_t digest[KQ_DIGEST_RANGES];
+};
+
+static int
+release_identities (KqMembers *members)
+{
+  for (unsigned i = 0; i < members->count; i++)
+    kq_identity_release (members->pool, members->records[i].who);
+  return 0;
+}
+
+KqMembers *
+kq_members_new (const void *parent, KqIdentityPool *pool)
+{
+  KqMembers *members = talloc_zero (parent, KqMembers);
+  if (members == NULL)
+    return NULL;
+  members->pool = pool;
+  talloc_set_destructor (members, release_identities);
+  return members;
+}
+
+static unsigned
+position_of (const KqMembers *members, uint64_t id)
+{
+  unsigned low = 0;
+  unsigned high = members->count;
+  while (low < high)
+    {
+      unsigned middle = low + (high - low) / 2;
+      if (members->records[middle].id < id)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+KqRecord *
+kq_members_find (const KqMembers *members, uint64_t id)
+{
+  unsigned position = position_of (members, id);
+  if (position == members->count || members->records[position].id != id)
+    return NULL;
+  return &members->records[position];
+}
+
+KqRecord *
+kq_members_at (const KqMembers *members, unsigned index)
+{
+  return &members->records[index];
+}
+
+unsigned
+kq_members_count (const KqMembers *members)
+{
+  return members->count;
+}
+
+unsigned
+kq_members_live (const KqMembers *members)
+{
+  return members->live;
+}
+
+unsigned
+kq_digest_range (uint64_t id)
+{
+  return (unsigned)(id >> 58);
+}
+
+static uint64_t
+mix (uint64_t value)
+{
+  value ^= value >> 33;
+  value *= UINT64_C (0xff51afd7ed558ccd);
+  value ^= value >> 33;
+  value *= UINT64_C (0xc4ceb9fe1a85ec53);
+  return value ^ value >> 33;
+}
+
+/* Adds a live record to its range's hash, or takes it out again. Suspicion is left out because it
+ * ends by itself within seconds. */
+static void
+toggle (KqMembers *members, const KqRecord *record)
+{
+  if (!kq_record_live (record))
+    return;
+  uint64_t hash = mix (mix (mix (record->id) ^ record->incarnation) ^ record->version);
+  members->digest[kq_digest_range (record->id)] ^= hash;
+}
+
+const uint64_t *
+kq_members_digest (const KqMembers *members)
+{
+  return members->digest;
+}
+
+static bool
+overrides (const KqClaim *claim, const KqRecord *record)
+{
+  if (claim->member.peer.incarnation != record->incarnation)
+    return claim->member.peer.incarnation > record->incarnation;
+  if (record->state == KQ_MEMBER_LEFT)
+    return false;
+  if (claim->member.state == KQ_MEMBER_LEFT)
+    return true;
+  if (claim->version != record->version)
+    return claim->version > record->version;
+  if (record->domain_lost)
+    return claim->member.state == KQ_MEMBER_DEAD;
+  return claim->member.state > (KqMemberState)record->state;
+}
+
+static void
+set_state (KqMembers *members, KqRecord *record, const KqClaim *claim, KqTime now)
+{
+  record->incarnation = claim->member.peer.incarnation;
+  record->version = claim->version;
+  record->state = (uint8_t)claim->member.state;
+  record->changed_s = (uint32_t)(now / KQ_SECOND);
+  record->domain_lost = false;
+  if (claim->full)
+    record->phase = (uint8_t)claim->member.phase;
+  if (kq_record_live (record))
+    members->live++;
+  toggle (members, record);
+}
+
+static bool
+change (KqMembers *members, KqRecord *record, const KqClaim *claim, KqTime now)
+{
+  KqIdentity *who = NULL;
+  if (claim->full)
+    {
+      who = kq_identity_take (members->pool, &claim->member);
+      if (who == NULL)
+        return false;
+    }
+  toggle (members, record);
+  if (kq_record_live (record))
+    members->live--;
+  if (who != NULL)
+    {
+      kq_identity_release (members->pool, record->who);
+      record->who = who;
+    }
+  set_state (members, record, claim, now);
+  return true;
+}
+
+static bool
+grow (KqMembers *members)
+{
+  if (members->records != NULL && members->count < members->capacity)
+    return true;
+  unsigned capacity = members->capacity + members->capacity / 4 + 16;
+  if (members->count >= KQ_MEMBERS_MAX)
+    return false;
+  KqRecord *records = talloc_realloc (members, members->records, KqRecord, capacity);
+  if (records == NULL)
+    return false;
+  members->records = records;
+  members->capacity = capacity;
+  return true;
+}
+
+static bool
+insert (KqMembers *members, unsigned position, const KqClaim *claim, KqTime now)
+{
+  if (!grow (members))
+    return false;
+  KqIdentity *who = kq_identity_take (members->pool, &claim->member);
+  if (who == NULL)
+    return false;
+  KqRecord *record = &members->records[position];
+  memmove (record + 1, record, (members->count - position) * sizeof *record);
+  memset (record, 0, sizeof *record);
+  members->count++;
+  record->id = claim->member.peer.id;
+  record->who = who;
+  set_state (members, record, claim, now);
+  return true;
+}
+
+bool
+kq_members_apply (KqMembers *members, const KqClaim *claim, KqTime now)
+{
+  unsigned position = position_of (members, claim->member.peer.id);
+  KqRecord *known = position < members->count ? &members->records[position] : NULL;
+  if (known == NULL || known->id != claim->member.peer.id)
+    return claim->full && insert (members, position, claim, now);
+  return overrides (claim, known) && change (members, known, claim, now);
+}
+
+bool
+kq_members_set_domain_lost (KqMembers *members, KqRecord *record, bool lost, KqTime now)
+{
+  if (lost ? !kq_record_live (record) : !record->domain_lost)
+    return false;
+  if (lost)
+    {
+      toggle (members, record);
+      members->live--;
+    }
+  record->domain_lost = lost;
+  record->state = lost ? KQ_MEMBER_DEAD : KQ_MEMBER_ALIVE;
+  record->changed_s = (uint32_t)(now / KQ_SECOND);
+  if (!lost)
+    {
+      toggle (members, record);
+      members->live++;
+    }
+  return true;
+}
+
+void
+kq_members_forget (KqMembers *members, KqTime before)
+{
+  unsigned kept = 0;
+  for (unsigned i = 0; i < members->count; i++)
+    {
+      KqRecord *record = &members->records[i];
+      if (!kq_record_live (record) && (KqTime)record->changed_s * KQ_SECOND < before)
+        kq_identity_release (members->pool, record->who);
+      else
+        members->records[kept++] = *record;
+    }
+  members->count = kept;
+}
+
+void
+kq_members_view (const KqRecord *record, KqMember *member)
+{
+  *member = record->who->member;
+  member->peer.incarnation = record->incarnation;
+  member->state = (KqMemberState)record->state;
+  member->phase = (KqTargetPhase)record->phase;
+}
+
+KqClaim
+kq_members_claim (const KqRecord *record)
+{
+  KqClaim claim = { .version = record->version, .full = true };
+  kq_members_view (record, &claim.member);
+  return claim;
+}
--- /dev/null
+++ b/src/version/suspicion.c
@@ -0,0 +1,180 @@
+/* Suspected members and when they are declared dead.
+ *
+ * Only an instance whose own probe failed declares a death, after it kept probing the suspect for
+ * the whole timeout and told it of the suspicion with each probe. So one answer, however late,
+ * saves the member without waiting for its refutation to spread. The timeout shrinks with each
+ * independent suspicion (Lifeguard, Dadgar, Phillips and Currey, 2017). The others wait three times
+ * as long. */
+
+#include <syslog.h>
+#include <talloc.h>
+
+#include "kumquat/internal/group_impl.h"
+
+#define OTHERS_FACTOR 3 /* timeouts that an instance waits whose own probe did not fail */
+#define SMALL_GROUP   4 /* members up to which the suspicion of one is enough */
+
+KqSuspicion *
+kq_suspicion_find (KqGroup *group, uint64_t id)
+{
+  KqSuspicion *suspicion;
+  TAILQ_FOREACH (suspicion, &group->suspicions, link)
+  {
+    if (suspicion->id == id)
+      return suspicion;
+  }
+  return NULL;
+}
+
+static void
+remove_suspicion (KqGroup *group, KqSuspicion *suspicion)
+{
+  TAILQ_REMOVE (&group->suspicions, suspicion, link);
+  group->stats.suspected--;
+  talloc_free (suspicion);
+}
+
+static KqSuspicion *
+find_or_add (KqGroup *group, const KqRecord *record)
+{
+  KqSuspicion *suspicion = kq_suspicion_find (group, record->id);
+  if (suspicion == NULL)
+    {
+      suspicion = talloc_zero (group, KqSuspicion);
+      if (suspicion == NULL)
+        return NULL;
+      suspicion->id = record->id;
+      TAILQ_INSERT_TAIL (&group->suspicions, suspicion, link);
+      group->stats.suspected++;
+    }
+  else if (suspicion->incarnation == record->incarnation && suspicion->version == record->version)
+    return suspicion;
+  suspicion->incarnation = record->incarnation;
+  suspicion->version = record->version;
+  suspicion->started = group->now;
+  suspicion->next_ping = group->now;
+  suspicion->from_count = 0;
+  suspicion->mine = false;
+  return suspicion;
+}
+
+/* Return: whether @from is a further independent source. */
+static bool
+add_source (KqSuspicion *suspicion, uint64_t from)
+{
+  if (from == 0 || suspicion->from_count == KQ_CONFIRMERS)
+    return false;
+  for (unsigned i = 0; i < suspicion->from_count; i++)
+    {
+      if (suspicion->from[i] == from)
+        return false;
+    }
+  suspicion->from[suspicion->from_count++] = from;
+  return true;
+}
+
+void
+kq_suspicion_claimed (KqGroup *group, const KqRecord *record, uint64_t from)
+{
+  KqSuspicion *suspicion = find_or_add (group, record);
+  if (suspicion != NULL && add_source (suspicion, from))
+    kq_gossip_add (group->gossip, KQ_GOSSIP_MEMBER, record->id);
+}
+
+static void
+declare_dead (KqGroup *group, uint64_t id)
+{
+  KqRecord *record = kq_members_find (group->members, id);
+  KqItem item = { .kind = KQ_ITEM_STATE, .source = group->self };
+  kq_members_view (record, &item.claim.member);
+  item.claim.member.state = KQ_MEMBER_DEAD;
+  item.claim.version = record->version;
+  group->stats.deaths_declared++;
+  kq_group_log (group, LOG_WARNING, "member-dead", "member=%s failure_domain=%s incarnation=%llu",
+                record->who->member.name, record->who->member.failure_domain,
+                (unsigned long long)record->incarnation);
+  kq_group_apply_item (group, &item, true);
+}
+
+void
+kq_suspicion_probe_failed (KqGroup *group, const KqRecord *record)
+{
+  uint64_t id = record->id;
+  if (group->params.no_suspicion)
+    {
+      declare_dead (group, id);
+      return;
+    }
+  KqItem item = { .kind = KQ_ITEM_STATE, .source = group->self };
+  kq_members_view (record, &item.claim.member);
+  item.claim.member.state = KQ_MEMBER_SUSPECT;
+  item.claim.version = record->version;
+  group->stats.suspicions++;
+  kq_group_apply_item (group, &item, true);
+  KqSuspicion *suspicion = kq_suspicion_find (group, id);
+  if (suspicion != NULL)
+    suspicion->mine = true;
+}
+
+static KqTime
+timeout_of (const KqGroup *group, const KqSuspicion *suspicion)
+{
+  /* 1 - log (n) / log (KQ_CONFIRMERS) in thousandths, for n independent suspicions */
+  static const KqTime extra_permille[KQ_CONFIRMERS + 1] = { 1000, 1000, 369, 0 };
+  KqTime least = group->params.suspicion_us;
+  KqTime timeout = least + least * extra_permille[suspicion->from_count] / 1000;
+  if (kq_members_live (group->members) <= SMALL_GROUP)
+    timeout = least;
+  return suspicion->mine ? timeout : timeout * OTHERS_FACTOR;
+}
+
+/* An instance that nobody answers is cut off itself and must not declare the others dead. */
+static bool
+cut_off (const KqGroup *group)
+{
+  return kq_members_live (group->members) > SMALL_GROUP &&
+         group->now - group->last_answer > group->params.suspicion_us;
+}
+
+static bool
+is_current (const KqSuspicion *suspicion, const KqRecord *record)
+{
+  return record != NULL && record->state == KQ_MEMBER_SUSPECT &&
+         record->incarnation == suspicion->incarnation && record->version == suspicion->version;
+}
+
+static void
+expire (KqGroup *group, KqSuspicion *suspicion, const KqRecord *record)
+{
+  if (cut_off (group) || kq_domain_checking (group, record->who->domain))
+    return;
+  if (!kq_token_bucket_take (&group->deaths, KQ_PRIORITY_LIVENESS, 1, group->now))
+    {
+      group->stats.deaths_delayed++;
+      return;
+    }
+  uint64_t id = suspicion->id;
+  remove_suspicion (group, suspicion);
+  declare_dead (group, id);
+}
+
+void
+kq_suspicion_tick (KqGroup *group)
+{
+  KqSuspicion *suspicion = TAILQ_FIRST (&group->suspicions);
+  while (suspicion != NULL)
+    {
+      KqSuspicion *next = TAILQ_NEXT (suspicion, link);
+      KqRecord *record = kq_members_find (group->members, suspicion->id);
+      if (!is_current (suspicion, record))
+        remove_suspicion (group, suspicion);
+      else if (group->now - suspicion->started >= timeout_of (group, suspicion))
+        expire (group, suspicion, record);
+      else if (suspicion->mine && group->now >= suspicion->next_ping)
+        {
+          suspicion->next_ping = group->now + group->params.probe_interval_us;
+          kq_swim_send_ping (group, record, ++group->sequence);
+        }
+      suspicion = next;
+    }
+}
--- /dev/null
+++ b/src/version/swim.c
@@ -0,0 +1,303 @@
+/* SWIM failure detection (Das, Gupta and Motivala, 2002). Each probe interval one member is probed;
+ * without an answer in one interval, three others are asked to probe it; without any answer the
+ * member becomes suspected. Members are taken round robin over a permutation that costs no memory:
+ * the walk through the table by a random stride that has no common divisor with its length visits
+ * every member once a round.
+ *
+ * A process that was paused itself must not blame others for it: when the time between two ticks is
+ * long, every deadline moves by the gap (local health awareness, Lifeguard, 2017). */
+
+#include <string.h>
+
+#include "kumquat/internal/group_impl.h"
+
+#define PROBE_TRIES     8  /* places of the walk looked at for a live member */
+#define PROBE_INTERVALS 5  /* half intervals from the direct probe to its failure */
+#define DEAD_INTERVALS  10 /* probe intervals between probes of a member that counts as dead */
+
+static unsigned
+common_divisor (unsigned a, unsigned b)
+{
+  while (b != 0)
+    {
+      unsigned rest = a % b;
+      a = b;
+      b = rest;
+    }
+  return a;
+}
+
+static void
+start_round (KqGroup *group, unsigned count)
+{
+  group->round_size = count;
+  group->round_left = count;
+  group->cursor = (unsigned)kq_random_below (&group->random, count);
+  group->stride = 1 + (unsigned)kq_random_below (&group->random, count);
+  while (common_divisor (group->stride, count) != 1)
+    group->stride++;
+}
+
+static KqRecord *
+next_to_probe (KqGroup *group)
+{
+  unsigned count = kq_members_count (group->members);
+  for (unsigned i = 0; i < PROBE_TRIES; i++)
+    {
+      if (group->round_left == 0 || group->round_size != count)
+        start_round (group, count);
+      group->round_left--;
+      group->cursor = (unsigned)(((uint64_t)group->cursor + group->stride) % count);
+      KqRecord *record = kq_members_at (group->members, group->cursor);
+      if (record->id != group->self && kq_record_live (record))
+        return record;
+    }
+  return NULL;
+}
+
+void
+kq_swim_send_ping (KqGroup *group, const KqRecord *record, uint64_t sequence)
+{
+  KqOutgoing out;
+  KqAddress to = record->who->member.control;
+  kq_group_begin (group, &out, KQ_CONTROL_PING, sequence, record);
+  kq_group_piggyback (group, &out);
+  kq_group_finish (group, &out, &to, KQ_PRIORITY_LIVENESS);
+}
+
+static KqProbe *
+free_probe (KqGroup *group)
+{
+  for (unsigned i = 0; i < KQ_PROBES_MAX; i++)
+    {
+      if (group->probes[i].id == 0)
+        return &group->probes[i];
+    }
+  return NULL;
+}
+
+static void
+probe_next (KqGroup *group)
+{
+  KqProbe *probe = free_probe (group);
+  KqRecord *record = probe == NULL ? NULL : next_to_probe (group);
+  if (record == NULL)
+    return;
+  *probe = (KqProbe){ .id = record->id, .sequence = ++group->sequence, .sent = group->now };
+  group->stats.probes++;
+  kq_swim_send_ping (group, record, probe->sequence);
+}
+
+void
+kq_swim_send_ping_req (KqGroup *group, const KqRecord *record, uint64_t sequence)
+{
+  KqOutgoing out;
+  KqRecord *helper = kq_group_random_live (group);
+  if (helper == NULL || helper->id == record->id)
+    return;
+  KqControlHeader header = { .type = KQ_CONTROL_PING_REQ, .sequence = sequence, .to = helper->id };
+  header.about = record->id;
+  header.address = record->who->member.control;
+  kq_group_begin_header (group, &out, &header);
+  kq_group_finish (group, &out, &helper->who->member.control, KQ_PRIORITY_LIVENESS);
+}
+
+static void
+probe_failed (KqGroup *group, KqProbe *probe)
+{
+  KqRecord *record = kq_members_find (group->members, probe->id);
+  probe->id = 0;
+  if (record == NULL || !kq_record_live (record))
+    return;
+  group->stats.probes_failed++;
+  if (!kq_domain_probe_failed (group, record))
+    kq_suspicion_probe_failed (group, record);
+}
+
+static void
+check_probe (KqGroup *group, KqProbe *probe)
+{
+  KqTime interval = group->params.probe_interval_us;
+  KqTime waited = group->now - probe->sent;
+  if (waited >= interval * PROBE_INTERVALS / 2)
+    {
+      probe_failed (group, probe);
+      return;
+    }
+  if (waited < interval || probe->indirect)
+    return;
+  probe->indirect = true;
+  KqRecord *record = kq_members_find (group->members, probe->id);
+  for (unsigned i = 0; i < KQ_INDIRECT && record != NULL; i++)
+    kq_swim_send_ping_req (group, record, probe->sequence);
+}
+
+/* Members that died are probed now and then: this is how the two sides of a healed partition find
+ * each other again. */
+static void
+probe_dead (KqGroup *group)
+{
+  unsigned count = kq_members_count (group->members);
+  unsigned start = (unsigned)kq_random_below (&group->random, count);
+  for (unsigned i = 0; i < count; i++)
+    {
+      KqRecord *record = kq_members_at (group->members, (start + i) % count);
+      if (record->state != KQ_MEMBER_DEAD || record->id == group->self)
+        continue;
+      kq_swim_send_ping (group, record, ++group->sequence);
+      return;
+    }
+}
+
+void
+kq_swim_tick (KqGroup *group)
+{
+  for (unsigned i = 0; i < KQ_PROBES_MAX; i++)
+    {
+      if (group->probes[i].id != 0)
+        check_probe (group, &group->probes[i]);
+    }
+  if (group->now >= group->next_probe)
+    {
+      group->next_probe += group->params.probe_interval_us;
+      if (group->next_probe < group->now)
+        group->next_probe = group->now + group->params.probe_interval_us;
+      probe_next (group);
+    }
+  if (group->now >= group->next_dead_probe)
+    {
+      group->next_dead_probe = group->now + DEAD_INTERVALS * group->params.probe_interval_us;
+      if (kq_members_live (group->members) < kq_members_count (group->members))
+        probe_dead (group);
+    }
+}
+
+void
+kq_swim_ping (KqGroup *group, const KqControlHeader *header)
+{
+  KqOutgoing out;
+  KqRecord *asker = kq_members_find (group->members, header->from);
+  kq_group_begin (group, &out, KQ_CONTROL_ACK, header->sequence, asker);
+  kq_group_piggyback (group, &out);
+  kq_group_finish (group, &out, &header->reply, KQ_PRIORITY_LIVENESS);
+}
+
+void
+kq_swim_ping_req (KqGroup *group, const KqControlHeader *header)
+{
+  KqOutgoing out;
+  KqRelay *relay = &group->relays[group->next_relay++ % KQ_RELAYS_MAX];
+  relay->sequence = ++group->sequence;
+  relay->asked = header->sequence;
+  relay->about = header->about;
+  relay->reply = header->reply;
+  relay->asker = header->from;
+  KqControlHeader ping = { .type = KQ_CONTROL_PING, .sequence = relay->sequence };
+  ping.to = header->about;
+  kq_group_begin_header (group, &out, &ping);
+  kq_group_finish (group, &out, &header->address, KQ_PRIORITY_LIVENESS);
+}
+
+static void
+relay_ack (KqGroup *group, const KqControlHeader *header)
+{
+  for (unsigned i = 0; i < KQ_RELAYS_MAX; i++)
+    {
+      KqRelay *relay = &group->relays[i];
+      if (relay->sequence != header->sequence || relay->about != header->about)
+        continue;
+      KqOutgoing out;
+      KqControlHeader ack = { .type = KQ_CONTROL_ACK, .sequence = relay->asked };
+      ack.about = relay->about;
+      ack.to = relay->asker;
+      relay->sequence = 0;
+      kq_group_begin_header (group, &out, &ack);
+      kq_group_finish (group, &out, &relay->reply, KQ_PRIORITY_LIVENESS);
+      return;
+    }
+}
+
+void
+kq_swim_ack (KqGroup *group, const KqControlHeader *header)
+{
+  group->last_answer = group->now;
+  if (header->about != header->from)
+    kq_swim_heard (group, header->about);
+  KqSuspicion *suspicion = kq_suspicion_find (group, header->about);
+  if (suspicion != NULL)
+    suspicion->mine = false;
+  for (unsigned i = 0; i < KQ_PROBES_MAX; i++)
+    {
+      KqProbe *probe = &group->probes[i];
+      if (probe->id == header->about && probe->sequence == header->sequence)
+        {
+          probe->id = 0;
+          return;
+        }
+    }
+  relay_ack (group, header);
+}
+
+/* Tells a member that counts as dead what is said of it, so that it refutes, and learns what
+ * changed on its side. */
+static void
+greet_returned (KqGroup *group, const KqRecord *record)
+{
+  KqOutgoing out;
+  KqAddress to = record->who->member.control;
+  kq_group_begin (group, &out, KQ_CONTROL_GOSSIP, 0, record);
+  kq_group_finish (group, &out, &to, KQ_PRIORITY_REST);
+  kq_digest_soon (group);
+}
+
+void
+kq_swim_heard (KqGroup *group, uint64_t from)
+{
+  KqRecord *record = kq_members_find (group->members, from);
+  if (record == NULL)
+    {
+      kq_digest_soon (group);
+      return;
+    }
+  if (record->state == KQ_MEMBER_LEFT)
+    return;
+  kq_domain_heard (group, record->who->domain);
+  if (record->state == KQ_MEMBER_DEAD && !record->domain_lost)
+    greet_returned (group, record);
+}
+
+void
+kq_swim_shift (KqGroup *group, KqTime gap)
+{
+  for (unsigned i = 0; i < KQ_PROBES_MAX; i++)
+    group->probes[i].sent += gap;
+  for (unsigned i = 0; i < group->domain_count; i++)
+    {
+      if (group->domains[i].checking_since != 0)
+        group->domains[i].checking_since += gap;
+      group->domains[i].last_answer += gap;
+    }
+  KqSuspicion *suspicion;
+  TAILQ_FOREACH (suspicion, &group->suspicions, link)
+  suspicion->started += gap;
+  group->last_answer += gap;
+}
+
+void
+kq_swim_reset (KqGroup *group)
+{
+  memset (group->probes, 0, sizeof group->probes);
+  memset (group->relays, 0, sizeof group->relays);
+  KqSuspicion *suspicion;
+  TAILQ_FOREACH (suspicion, &group->suspicions, link)
+  {
+    suspicion->mine = false;
+    suspicion->started = group->now;
+  }
+  for (unsigned i = 0; i < group->domain_count; i++)
+    {
+      group->domains[i].failures = 0;
+      group->domains[i].checking_since = 0;
+      group->domains[i].last_answer = group->now;
+    }
+}
