--- /dev/null
+++ b/programs/kumquat-agent.c
@@ -0,0 +1,7 @@
+#include "kumquat/agent.h"
+
+int
+main (int argc, char **argv)
+{
+  return kq_agent_main (argc, (const char **)argv);
+}
--- a/tests/integration/cluster.py
+++ b/tests/integration/cluster.py
@@ -115,7 +115,7 @@
             "store": {"endpoints": [self.store_seen], "timeout_ms": 1000},
             "http": {"address": f"{ip}:6200", "operator_key": OPERATOR_KEY},
             "shutdown": {"linger_s": 2, **shutdown}})
-        process = self.start(name, "kumquat-balancer", path)
+        process = self.start(name, "kumquat-balancer", "--config", path)
         if number not in self.balancers:
             self.balancers.append(number)
         if wait:
@@ -166,7 +166,7 @@
             "flows": {"idle_s": 20},
             "shutdown": {"linger_s": 2, "drain_limit_s": 30},
             **settings})
-        return self.start(name, "kumquat-agent", path)
+        return self.start(name, "kumquat-agent", "--config", path)
 
     def start_fabric(self, *options, services=tuple(PORTS)):
         arguments = ["--ip", self.ip(0, 10), "--seed", self.seed, "--control", "--seconds", "110"]
