A test switch is a function in every build

Cause: the linter refuses a lower-case macro. Conclusion: lint is clean, and the compiler drops the calls in the release build because they return a constant.

--- a/include/kumquat/internal/test_switch.h
+++ b/include/kumquat/internal/test_switch.h
@@ -14,5 +14,12 @@
   return disabled != NULL && strcmp (disabled, mechanism) == 0;
 }
 #else
-#define kq_test_switched_off(mechanism) false
+#include <stdbool.h>
+
+static inline bool
+kq_test_switched_off (const char *mechanism)
+{
+  (void)mechanism;
+  return false;
+}
 #endif
