--- a/include/kumquat/internal/placement_state.h
+++ b/include/kumquat/internal/placement_state.h
@@ -13,10 +13,11 @@
 #include "kumquat/internal/placement_message.h"
 #include "kumquat/random.h"
 
-#define KQ_OFFERS_MAX   8
-#define KQ_DEPARTED_MAX 64
-#define KQ_RESERVED_MAX 64
-#define KQ_HANDLED_MAX  256
+#define KQ_OFFERS_MAX    8
+#define KQ_DEPARTED_MAX  64
+#define KQ_RESERVED_MAX  64
+#define KQ_HANDLED_MAX   256
+#define KQ_STRANGERS_MAX 8
 
 /**
  * struct KqTarget - a target of the service that this agent knows
@@ -120,22 +121,26 @@
 
 /**
  * struct KqSyncPeer - progress of the sync with one target
+ * @asked_at: when it was asked first
  */
 typedef struct
 {
   KqPeer peer;
   uint64_t cursor;
   bool done;
+  KqTime asked_at;
   KqTime retry_at;
   unsigned tries;
 } KqSyncPeer;
 
 /**
  * struct KqSyncRound - the current request for the flows of newly homed buckets
+ * @complete: @peers has every agent that must be asked; false after a lack of memory
  */
 typedef struct
 {
   bool active;
+  bool complete;
   uint64_t number;
   KqTime started_at;
   uint8_t buckets[KQ_BUCKET_SET_BYTES];
@@ -152,6 +157,16 @@
   KqTime until;
 } KqReservation;
 
+/**
+ * struct KqStranger - an agent that sent a sync request and is not in the view
+ * @until: forgotten then, unless it asks again
+ */
+typedef struct
+{
+  KqPeer peer;
+  KqTime until;
+} KqStranger;
+
 /**
  * struct KqHandled - a place request that was answered; a copy of it gets the same answer
  * @tag: hash of the sender's life and the request's number
@@ -186,6 +201,7 @@
   uint64_t digest;
   KqPeer departed[KQ_DEPARTED_MAX];
   unsigned departed_count;
+  KqStranger strangers[KQ_STRANGERS_MAX];
   KqBucket buckets[KQ_BUCKETS];
   KqFlowShard *flows;
   KqFlowShard *directory;
@@ -212,6 +228,8 @@
 /* placement_view.c */
 const KqTarget *kq_placement_target (const KqPlacement *placement, uint64_t id);
 bool kq_placement_is_gone (const KqPlacement *placement, const KqPeer *peer);
+bool kq_placement_is_stranger (const KqPlacement *placement, const KqPeer *peer);
+void kq_placement_meet (KqPlacement *placement, const KqPeer *peer, KqTime now);
 
 /* placement_pending.c */
 KqPending *kq_pending_find (KqPlacement *placement, const KqFlowKey *key);
--- a/src/connection/placement_sync.c
+++ b/src/connection/placement_sync.c
@@ -17,6 +17,7 @@
 #define RECLAIM_DELAY   (5 * KQ_SECOND) /* as long as views lag; then the fenced home asks again */
 #define RESTART_DELAY   (200 * KQ_MS)   /* a round gets so long before more buckets restart it */
 #define OVERFLOW_DELAY  KQ_SECOND
+#define STRANGER_WAIT   (10 * KQ_SECOND) /* an agent outside the view is waited for so long */
 
 static void
 send_request (KqPlacement *placement, KqSyncPeer *peer, KqTime now)
@@ -61,11 +62,26 @@
       round->peers = peers;
       found = &peers[round->peer_count++];
     }
-  *found = (KqSyncPeer){ .peer = *peer };
+  *found = (KqSyncPeer){ .peer = *peer, .asked_at = now };
   send_request (placement, found, now);
   return 0;
 }
 
+static int
+add_known_peers (KqPlacement *placement, KqTime now)
+{
+  for (unsigned i = 0; i < placement->target_count; i++)
+    if (add_peer (placement, &placement->targets[i].peer, now) < 0)
+      return -1;
+  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
+    {
+      const KqStranger *stranger = &placement->strangers[i];
+      if (now < stranger->until && add_peer (placement, &stranger->peer, now) < 0)
+        return -1;
+    }
+  return 0;
+}
+
 static bool
 needs_sync (const KqPlacement *placement, unsigned bucket, KqTime now)
 {
@@ -117,6 +133,8 @@
   for (unsigned i = 0; i < round->peer_count; i++)
     if (!round->peers[i].done)
       return;
+  if (!round->active || !round->complete)
+    return;
   round->active = false;
   for (unsigned i = 0; i < KQ_BUCKETS; i++)
     {
@@ -157,9 +175,7 @@
   round->started_at = now;
   TALLOC_FREE (round->peers);
   round->peer_count = 0;
-  for (unsigned i = 0; i < placement->target_count; i++)
-    if (add_peer (placement, &placement->targets[i].peer, now) < 0)
-      return;
+  round->complete = add_known_peers (placement, now) == 0;
 }
 
 void
@@ -172,15 +188,21 @@
   finish_if_done (placement, now);
 }
 
+/* Stops waiting for agents that ended, and for silent ones that the view never had. */
 static void
-drop_gone_peers (KqPlacement *placement)
+drop_gone_peers (KqPlacement *placement, KqTime now)
 {
   KqSyncRound *round = &placement->round;
   for (unsigned i = 0; i < round->peer_count;)
-    if (kq_placement_is_gone (placement, &round->peers[i].peer))
-      round->peers[i] = round->peers[--round->peer_count];
-    else
-      i++;
+    {
+      const KqSyncPeer *peer = &round->peers[i];
+      bool silent = !peer->done && now - peer->asked_at > STRANGER_WAIT &&
+                    kq_placement_is_stranger (placement, &peer->peer);
+      if (silent || kq_placement_is_gone (placement, &peer->peer))
+        round->peers[i] = round->peers[--round->peer_count];
+      else
+        i++;
+    }
 }
 
 void
@@ -188,10 +210,8 @@
 {
   if (placement->round.active)
     {
-      drop_gone_peers (placement);
-      for (unsigned i = 0; i < placement->target_count; i++)
-        if (add_peer (placement, &placement->targets[i].peer, now) < 0)
-          return;
+      drop_gone_peers (placement, now);
+      placement->round.complete = add_known_peers (placement, now) == 0;
       finish_if_done (placement, now);
     }
   kq_sync_start (placement, now);
@@ -201,10 +221,17 @@
 kq_sync_tick (KqPlacement *placement, KqTime now)
 {
   KqSyncRound *round = &placement->round;
+  bool repeated = false;
   for (unsigned i = 0; round->active && i < round->peer_count; i++)
     if (!round->peers[i].done && now >= round->peers[i].retry_at)
-      send_request (placement, &round->peers[i], now);
-  kq_sync_start (placement, now);
+      {
+        send_request (placement, &round->peers[i], now);
+        repeated = true;
+      }
+  if (repeated)
+    kq_sync_view_changed (placement, now);
+  else
+    kq_sync_start (placement, now);
 }
 
 /* Gives the bucket to @from. A copy of the request that fenced it last changes nothing, so that it
@@ -314,6 +341,20 @@
     answer->next = page->hashes[page->count - 1];
 }
 
+/* Names those that asked for flows themselves and are not in the view yet. */
+static void
+put_strangers (const KqPlacement *placement, KqPlacementMessage *answer, const KqPeer *from,
+               KqTime now)
+{
+  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
+    {
+      const KqStranger *stranger = &placement->strangers[i];
+      if (now < stranger->until && stranger->peer.id != from->id &&
+          kq_placement_is_stranger (placement, &stranger->peer))
+        message_peer (answer, &stranger->peer);
+    }
+}
+
 /* Names the newest targets to a requester whose view differs; it asks those that it does not know.
  */
 static void
@@ -350,6 +391,8 @@
                                 .number = request->number,
                                 .cursor = request->cursor,
                                 .digest = placement->digest };
+  if (request->cursor == 0)
+    put_strangers (placement, &answer, from, now);
   put_page (placement, &page, &answer);
   if (request->cursor == 0 && request->digest != placement->digest)
     put_new_targets (placement, &answer);
@@ -381,7 +424,13 @@
         return;
     }
   if (kq_flow_shard_store (placement->directory, key, hash, owner, now) < 0)
-    b->overflow = true;
+    {
+      b->overflow = true;
+      return;
+    }
+  KqPending *pending = kq_pending_find (placement, key);
+  if (own_word && pending != NULL && pending->state == KQ_WAIT_SYNC)
+    kq_pending_forward (placement, pending, owner, &placement->params.self);
 }
 
 static void
@@ -406,7 +455,7 @@
     send_request (placement, peer, now);
   for (unsigned i = 0; i < answer->peer_count; i++)
     if (add_peer (placement, &answer->peers[i], now) < 0)
-      return;
+      placement->round.complete = false;
   finish_if_done (placement, now);
 }
 
@@ -414,6 +463,7 @@
 kq_sync_message (KqPlacement *placement, const KqPeer *from, const KqPlacementMessage *message,
                  KqTime now)
 {
+  kq_placement_meet (placement, from, now);
   if (message->type == KQ_MESSAGE_SYNC_REQUEST)
     answer_request (placement, from, message, now);
   else
--- a/src/connection/placement_view.c
+++ b/src/connection/placement_view.c
@@ -5,6 +5,8 @@
 #include "kumquat/internal/peer_table.h"
 #include "kumquat/internal/placement_state.h"
 
+#define STRANGER_LIFE (15 * KQ_SECOND) /* three times as long as views lag */
+
 const KqTarget *
 kq_placement_target (const KqPlacement *placement, uint64_t id)
 {
@@ -28,6 +30,36 @@
   return false;
 }
 
+/* Tells whether @peer is a life that the view does not know, and that it has not seen end. */
+bool
+kq_placement_is_stranger (const KqPlacement *placement, const KqPeer *peer)
+{
+  const KqTarget *target = kq_placement_target (placement, peer->id);
+  if (target != NULL)
+    return peer->incarnation > target->peer.incarnation;
+  return !kq_placement_is_gone (placement, peer);
+}
+
+void
+kq_placement_meet (KqPlacement *placement, const KqPeer *peer, KqTime now)
+{
+  if (!kq_placement_is_stranger (placement, peer))
+    return;
+  KqStranger *oldest = &placement->strangers[0];
+  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
+    {
+      KqStranger *stranger = &placement->strangers[i];
+      if (stranger->peer.id == peer->id)
+        {
+          oldest = stranger;
+          break;
+        }
+      if (stranger->until < oldest->until)
+        oldest = stranger;
+    }
+  *oldest = (KqStranger){ .peer = *peer, .until = now + STRANGER_LIFE };
+}
+
 static void
 note_departed (KqPlacement *placement, const KqTarget *targets, unsigned count)
 {
@@ -66,7 +98,8 @@
       targets[i].peer = member->peer;
       targets[i].since = known == NULL ? now : known->since;
       targets[i].in_service = kq_routing_in_service (view, member);
-      placement->digest ^= XXH3_64bits (&member->peer.id, sizeof member->peer.id);
+      placement->digest ^=
+          XXH3_64bits_withSeed (&member->peer.id, sizeof member->peer.id, member->peer.incarnation);
     }
   placement->targets = targets;
   placement->target_count = view->count;
--- a/standins/lib/change_run.c
+++ b/standins/lib/change_run.c
@@ -7,7 +7,8 @@
 
 #define SERVING_MIN  4
 #define SERVING_MAX  10
-#define FLOW_LIFE    (20 * KQ_SECOND) /* mean; one flow in five stays open throughout */
+#define SHORT_LIFE   (5 * KQ_SECOND)  /* mean */
+#define LONG_LIFE    (45 * KQ_SECOND) /* of one flow in five */
 #define SEND_MIN     (200 * KQ_MS)
 #define SEND_SPREAD  (800 * KQ_MS)
 #define WARM_UP      (5 * KQ_SECOND)
@@ -121,7 +122,7 @@
 open_flow (CallerFlow *flow)
 {
   ChangeRun *run = flow->run;
-  double life = (double)FLOW_LIFE * -log (1 - kq_random_unit (&run->random));
+  double life = (double)SHORT_LIFE * -log (1 - kq_random_unit (&run->random));
   uint64_t number = run->last_flow++;
   memset (&flow->key, 0, sizeof flow->key);
   flow->key.service = 1;
@@ -132,7 +133,7 @@
   flow->target = -1;
   flow->broken = false;
   flow->ends_at =
-      flow->place % 5 == 0 ? KQ_NEVER : kq_fleet_now (run->fleet) + (KqTime)life + SEND_MIN;
+      kq_fleet_now (run->fleet) + (flow->place % 5 == 0 ? LONG_LIFE : (KqTime)life + SEND_MIN);
   run->result.opened++;
 }
 
@@ -227,13 +228,14 @@
   return false;
 }
 
-/* Lets targets leave that have drained; a new flow may still be on its way for a moment. */
+/* Lets targets leave that have drained by the callers' word and by their own. */
 static void
 reap (void *data)
 {
   ChangeRun *run = data;
   for (unsigned i = 0; i < run->target_count; i++)
-    if (run->targets[i] == TARGET_DRAINING && !has_open_flow (run, i))
+    if (run->targets[i] == TARGET_DRAINING && !has_open_flow (run, i) &&
+        kq_fleet_stats (run->fleet, i).flows_open == 0)
       {
         run->targets[i] = TARGET_LEFT;
         kq_fleet_leave (run->fleet, i, LINGER);
--- a/standins/lib/fleet.c
+++ b/standins/lib/fleet.c
@@ -273,6 +273,16 @@
   return node >= KQ_FLEET_AGENTS_MAX || fleet->agents[node].alive;
 }
 
+static void
+tell (KqFleet *fleet, unsigned node, unsigned member, KqTime lag_max)
+{
+  KqTime lag = (KqTime)kq_random_below (&fleet->random, (uint64_t)lag_max + 1);
+  Event *event = new_event (fleet, EVENT_VIEW, fleet->now + lag, node, 0);
+  event->member = fleet->truth[member];
+  event->version = fleet->truth_versions[member];
+  push (fleet, event);
+}
+
 static void
 spread (KqFleet *fleet, unsigned member, KqTime lag_max)
 {
@@ -305,6 +315,9 @@
 copy_view (KqFleet *fleet, unsigned node)
 {
   unsigned start = (unsigned)kq_random_below (&fleet->random, fleet->agent_count);
+  for (unsigned i = 0; i < fleet->agent_count; i++)
+    if (i != node)
+      tell (fleet, node, i, fleet->params.lag_max);
   for (unsigned i = 0; i < fleet->agent_count; i++)
     {
       unsigned donor = (start + i) % fleet->agent_count;
