--- a/Makefile
+++ b/Makefile
@@ -78,7 +78,7 @@
 
 # Every unit test runs under the address and undefined-behaviour sanitizers; those that use threads
 # run under the thread sanitizer as well.
-check:
+check: dependencies
 	$(MAKE) VARIANT=asan everything
 	$(MAKE) VARIANT=tsan unit-tests
 	tests/run
@@ -97,10 +97,37 @@
 	@$(CLANG_TIDY) --quiet $< -- $(CPPFLAGS) -std=gnu11 2>&1 | { ! grep -E 'warning:|error:' ; }
 	@touch $@
 
+dependencies:
+	@tools/install-packages
+
 clean:
 	rm -rf build
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all everything unit-tests fuzzers benches check format format-check lint clean
+
+.PHONY: dependencies all everything unit-tests fuzzers benches check format format-check lint clean
 .SECONDARY:
+
+# The whole system on loopback; needs no sanitizers.
+demo: all
+	tools/demo.py --seed $(SEED)
+
+PROOF = KQ_BIN=$(CURDIR)/$(B)/bin tests/integration/proof.py
+SWITCHES_BUILD = build/switches
+
+proof: all
+	$(PROOF)
+
+# Each case of switches.toml must fail, in a build whose mechanisms can be switched off.
+proof-off:
+	$(MAKE) B=$(SWITCHES_BUILD) EXTRA_CFLAGS=-DKQ_TEST_SWITCHES all
+	KQ_BIN=$(CURDIR)/$(SWITCHES_BUILD)/bin tests/integration/proof.py --off
+
+proof-page:
+	tests/integration/proof.py --write-page
+
+bench: all
+	python3 bench/bench_path.py
+
+.PHONY: demo proof proof-off proof-page bench
--- /dev/null
+++ b/src/request/request_cost.c
@@ -0,0 +1,75 @@
+#include <string.h>
+
+#include "kumquat/internal/request_cost.h"
+
+#define INITIAL_SERVICE_US 20000.0 /* before the first sample of a class */
+#define MIN_SERVICE_US     1.0
+#define SAMPLE_WEIGHT      0.05 /* of a new sample in the moving average */
+
+static unsigned
+named_classes (const KqRequestGuardParams *params)
+{
+  return params->class_count < KQ_REQUEST_CLASSES_MAX ? params->class_count
+                                                      : KQ_REQUEST_CLASSES_MAX;
+}
+
+static void
+set_class (KqRequestCosts *costs, unsigned index, const KqRequestClass *class_of_requests)
+{
+  memcpy (costs->names[index], class_of_requests->name, KQ_NAME_BYTES);
+  costs->names[index][KQ_NAME_BYTES - 1] = '\0';
+  costs->worth[index] = class_of_requests->worth;
+}
+
+void
+kq_request_costs_init (KqRequestCosts *costs, const KqRequestGuardParams *params)
+{
+  memset (costs, 0, sizeof *costs);
+  costs->count = 1;
+  costs->service_us[0] = INITIAL_SERVICE_US;
+  kq_request_costs_set_classes (costs, params);
+}
+
+/* The index of a request in a queue may point to another class for as long as it waits. */
+void
+kq_request_costs_set_classes (KqRequestCosts *costs, const KqRequestGuardParams *params)
+{
+  KqRequestCosts old = *costs;
+  bool flat = (params->disable & KQ_DISABLE_WORTH) != 0;
+  unsigned named = named_classes (params);
+  for (unsigned i = 0; i <= KQ_REQUEST_CLASSES_MAX; i++)
+    costs->service_us[i] = old.service_us[old.count - 1];
+  for (unsigned i = 0; i < named; i++)
+    {
+      set_class (costs, i, &params->classes[i]);
+      costs->service_us[i] = old.service_us[kq_request_costs_class (&old, costs->names[i])];
+    }
+  costs->worth[named] = params->default_worth > 0 ? params->default_worth : 1;
+  costs->count = named + 1;
+  for (unsigned i = 0; flat && i < costs->count; i++)
+    costs->worth[i] = 1;
+}
+
+unsigned
+kq_request_costs_class (const KqRequestCosts *costs, const char *name)
+{
+  for (unsigned i = 0; i + 1 < costs->count; i++)
+    if (strcmp (costs->names[i], name) == 0)
+      return i;
+  return costs->count - 1;
+}
+
+void
+kq_request_costs_sample (KqRequestCosts *costs, unsigned class_index, KqTime service_us)
+{
+  double *average = &costs->service_us[class_index];
+  *average += SAMPLE_WEIGHT * ((double)service_us - *average);
+  if (*average < MIN_SERVICE_US)
+    *average = MIN_SERVICE_US;
+}
+
+double
+kq_request_costs_density (const KqRequestCosts *costs, unsigned class_index)
+{
+  return costs->worth[class_index] / costs->service_us[class_index];
+}
