--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -206,7 +206,7 @@
   for (unsigned i = 0; i < 3; i++)
     kq_placement_packet (bench->placement, &packets[i], 0);
   CU_ASSERT (bench->delivered == 2 && bench->refused == 1 && bench->reason == KQ_ERROR_FULL);
-  kq_placement_drain (bench->placement, 0);
+  kq_placement_set_draining (bench->placement, true, 0);
   kq_placement_close (bench->placement, &packets[0].key, 0);
   kq_placement_packet (bench->placement, &packets[2], 0);
   CU_ASSERT (bench->delivered == 2 && bench->refused == 2);
