--- /dev/null
+++ b/standins/lib/model_faults.c
@@ -0,0 +1,107 @@
+#include <talloc.h>
+
+#include "model_faults.h"
+
+#define OPS       24
+#define FAULTS    6
+#define FLOWS     5
+#define AGENTS    3
+#define LENGTH_US (20 * KQ_SECOND)
+#define BURST_US  (2 * KQ_SECOND)
+
+KqModelParams
+kq_model_hostile_params (uint64_t seed, unsigned disable)
+{
+  return (KqModelParams){ .seed = seed,
+                          .agents = AGENTS,
+                          .loss = 0.15,
+                          .duplicate = 0.2,
+                          .straggler = 0.15,
+                          .straggler_us = seed % 2 == 0 ? 30 * KQ_SECOND : 3 * KQ_SECOND,
+                          .misroute = 0.05,
+                          .delay_us = 3 * KQ_MS,
+                          .workers = 2,
+                          .shed_above = 4,
+                          .separate = 0.3,
+                          .answer_loss = 0.05,
+                          .answer_duplicate = 0.1,
+                          .ignores_cancel = seed % 2 == 0,
+                          .resend_us = 150 * KQ_MS,
+                          .guard = { .slots = 2,
+                                     .queue_max = 2,
+                                     .deadline_us = KQ_SECOND,
+                                     .kept_answers_max = 6,
+                                     .kept_answer_us = 15 * KQ_SECOND,
+                                     .echo_us = 6 * KQ_SECOND,
+                                     .ramp_us = KQ_SECOND,
+                                     .disable = disable } };
+}
+
+static void
+fault (KqModelWorld *world, void *data)
+{
+  KqRandom *random = kq_model_random (world);
+  unsigned agent = (unsigned)kq_random_below (random, AGENTS);
+  KqTime duration = (KqTime)kq_random_below (random, 3 * KQ_SECOND);
+  (void)data;
+  switch (kq_random_below (random, 5))
+    {
+    case 0:
+      kq_model_crash (world, agent, duration);
+      break;
+    case 1:
+      kq_model_freeze_agent (world, agent, duration);
+      break;
+    case 2:
+      kq_model_freeze_target (world, agent, duration);
+      break;
+    case 3:
+      kq_model_drain (world, agent);
+      break;
+    default:
+      kq_model_move_flow (world, (unsigned)kq_random_below (random, FLOWS), agent);
+      break;
+    }
+}
+
+static void
+schedule (KqModelWorld *world, KqTime length_us)
+{
+  static const uint8_t methods[] = { KQ_COAP_GET,  KQ_COAP_PUT,  KQ_COAP_POST,
+                                     KQ_COAP_POST, KQ_COAP_POST, KQ_COAP_POST };
+  KqRandom *random = kq_model_random (world);
+  for (unsigned i = 0; i < OPS; i++)
+    {
+      KqModelOp op = { .method = methods[kq_random_below (random, sizeof methods)],
+                       .service_us = (KqTime)kq_random_below (random, 400 * KQ_MS),
+                       .deadline_us = KQ_SECOND + (KqTime)kq_random_below (random, 8 * KQ_SECOND),
+                       .flow = (unsigned)kq_random_below (random, FLOWS) };
+      kq_model_request (world, (KqTime)kq_random_below (random, (uint64_t)length_us), &op);
+    }
+  for (unsigned i = 0; i < FAULTS; i++)
+    kq_model_at (world, (KqTime)kq_random_below (random, LENGTH_US), fault, NULL);
+}
+
+KqModelCheck
+kq_model_hostile_run (uint64_t seed, unsigned disable)
+{
+  KqModelParams params = kq_model_hostile_params (seed, disable);
+  KqModelWorld *world = kq_model_new (NULL, &params);
+  schedule (world, seed % 3 == 0 ? BURST_US : LENGTH_US);
+  kq_model_run (world, KQ_MODEL_HOSTILE_END);
+  KqModelCheck check = kq_model_check (world);
+  talloc_free (world);
+  return check;
+}
+
+void
+kq_model_check_add (KqModelCheck *sum, const KqModelCheck *check)
+{
+  sum->doubled += check->doubled;
+  sum->false_not_run += check->false_not_run;
+  sum->wrong_answers += check->wrong_answers;
+  sum->false_answers += check->false_answers;
+  sum->runs += check->runs;
+  for (unsigned i = 0; i <= KQ_MODEL_TIMED_OUT; i++)
+    sum->outcomes[i] += check->outcomes[i];
+}
--- a/standins/lib/model_internal.h
+++ b/standins/lib/model_internal.h
@@ -66,6 +66,7 @@
  * @jobs: requests in the target in order of arrival
  * @job_count: length of @jobs
  * @busy: jobs that run
+ * @workers: jobs that may run at once
  * @next_mid: next message id of the target
  * @requests: requests that the target got
  */
@@ -80,6 +81,7 @@
   TAILQ_HEAD (, KqModelJob) jobs;
   unsigned job_count;
   unsigned busy;
+  unsigned workers;
   uint16_t next_mid;
   uint64_t requests;
 } KqModelAgent;
--- a/standins/lib/model_target.c
+++ b/standins/lib/model_target.c
@@ -101,7 +101,7 @@
   KqModelJob *job;
   TAILQ_FOREACH (job, &agent->jobs, entry)
   {
-    if (agent->busy >= world->params.workers)
+    if (agent->busy >= agent->workers)
       return;
     if (job->running)
       continue;
--- a/standins/lib/model_world.c
+++ b/standins/lib/model_world.c
@@ -204,6 +204,7 @@
       KqModelEvent event = { .agent = i };
       agent->world = world;
       agent->number = i;
+      agent->workers = params->workers;
       TAILQ_INIT (&agent->jobs);
       begin_life (world, &event);
       kq_model_post (world, TICK_US, tick, i, NULL, 0);
@@ -302,6 +303,12 @@
   world->agents[agent].target_frozen_until = world->now + duration_us;
 }
 
+void
+kq_model_set_workers (KqModelWorld *world, unsigned agent, unsigned workers)
+{
+  world->agents[agent].workers = workers;
+}
+
 void
 kq_model_move_flow (KqModelWorld *world, unsigned flow, unsigned agent)
 {
--- a/standins/lib/model_world.h
+++ b/standins/lib/model_world.h
@@ -162,6 +162,9 @@
 /** kq_model_freeze_target - likewise for its target */
 void kq_model_freeze_target (KqModelWorld *world, unsigned agent, KqTime duration_us);
 
+/** kq_model_set_workers - how many requests run at once in the agent's target from now on */
+void kq_model_set_workers (KqModelWorld *world, unsigned agent, unsigned workers);
+
 /** kq_model_move_flow - another agent holds the flow from now on */
 void kq_model_move_flow (KqModelWorld *world, unsigned flow, unsigned agent);
 
