--- a/tests/unit/test_request_feeds.c
+++ b/tests/unit/test_request_feeds.c
@@ -123,7 +123,9 @@
   fixture.now += 100 * KQ_SECOND;
   kq_request_guard_tick (fixture.guard, fixture.now);
   CU_ASSERT (fixture.caller.count == sent + 1 && stats_of (&fixture).observers == 1);
-  notify (&fixture, 0, KQ_COAP_CON, 3, "third"); /* nobody acknowledges this one */
+  notify (&fixture, 0, KQ_COAP_CON, 3, "third");
+  notify (&fixture, 0, KQ_COAP_CON, 4, "fourth"); /* replaces it; nobody acknowledges this one */
+  sent++;
   for (unsigned i = 0; i < 80; i++)
     {
       fixture.now += KQ_SECOND;
@@ -169,7 +171,9 @@
   from_caller (&fixture, &waits);
   reset (&fixture, waits.message_id);
   CU_ASSERT (stats_of (&fixture).waiting == 0);
+  unsigned answers = fixture.caller.count;
   reset (&fixture, runs.message_id);
+  CU_ASSERT (fixture.caller.count == answers);
   CU_ASSERT (last (&fixture.target)->type == KQ_COAP_RST);
   CU_ASSERT (last (&fixture.target)->message_id == fixture.target.messages[0].message_id);
   CU_ASSERT (stats_of (&fixture).running == 0 && stats_of (&fixture).cancelled == 2);
--- a/tests/unit/test_request_guard.c
+++ b/tests/unit/test_request_guard.c
@@ -159,6 +159,47 @@
   talloc_free (fixture.guard);
 }
 
+static void
+test_kept_bytes_are_bounded (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  params.kept_bytes_max = KQ_DATAGRAM_BYTES + 100;
+  setup (&fixture, &params);
+  KqCoapMessage first = make_post (&fixture, 1);
+  KqCoapMessage second = make_post (&fixture, 2);
+  from_caller (&fixture, &first);
+  CU_ASSERT (kq_request_guard_stats (fixture.guard).kept_bytes == KQ_DATAGRAM_BYTES);
+  from_caller (&fixture, &second); /* no room for a whole datagram until the first is answered */
+  expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
+  answer (&fixture, 0, KQ_COAP_CHANGED, "ok");
+  CU_ASSERT (kq_request_guard_stats (fixture.guard).kept_bytes < 100);
+  fixture.now++;
+  KqCoapMessage third = make_post (&fixture, 3);
+  from_caller (&fixture, &third);
+  CU_ASSERT (fixture.target.count == 2);
+  talloc_free (fixture.guard);
+}
+
+/* An Echo value must not be fresh for longer than answers are kept, whatever the settings say. */
+static void
+test_echo_is_never_fresh_longer_than_answers_are_kept (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  params.echo_us = 2 * params.kept_answer_us;
+  setup (&fixture, &params);
+  KqCoapMessage post = make_post (&fixture, 1);
+  from_caller (&fixture, &post);
+  answer (&fixture, 0, KQ_COAP_CHANGED, "ok");
+  fixture.now += params.kept_answer_us;
+  kq_request_guard_tick (fixture.guard, fixture.now);
+  from_caller (&fixture, &post);
+  expect_last (&fixture, KQ_COAP_GATEWAY_TIMEOUT, "");
+  CU_ASSERT (fixture.target.count == 1);
+  talloc_free (fixture.guard);
+}
+
 static void
 test_refused_request_never_runs_later (void)
 {
@@ -240,6 +281,8 @@
     { "an expired Echo value", test_expired_echo },
     { "a kept answer outlives its Echo value", test_kept_answer_outlives_its_echo },
     { "a full store refuses and no copy runs", test_full_store_refuses_and_no_copy_runs },
+    { "kept bytes are bounded", test_kept_bytes_are_bounded },
+    { "Echo is never fresh for longer", test_echo_is_never_fresh_longer_than_answers_are_kept },
     { "a refused request never runs later", test_refused_request_never_runs_later },
     { "a late answer goes to its own request", test_late_answer_goes_to_its_own_request_only },
     { "crossed answers", test_crossed_answers },
--- a/tests/unit/test_request_limits.c
+++ b/tests/unit/test_request_limits.c
@@ -78,13 +78,17 @@
   setup (&fixture, &params);
   send_get (&fixture, 1, "deadline=0");
   expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
-  send_get (&fixture, 2, "");
+  send_get (&fixture, 2, "deadline=4294967295");
+  CU_ASSERT_STRING_EQUAL (last (&fixture.target)->query, "deadline=60000");
   send_get (&fixture, 3, "");
   send_get (&fixture, 4, "deadline=10"); /* below the expected service time */
   expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
-  send_get (&fixture, 5, "deadline=300");
+  send_get (&fixture, 5, "deadline=24");
   CU_ASSERT (stats_of (&fixture).waiting == 1);
-  fixture.now += 290 * KQ_MS;
+  send_get (&fixture, 6, "deadline=25"); /* enough for itself, not after the one before it */
+  expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
+  CU_ASSERT (last (&fixture.caller)->token[0] == 6);
+  fixture.now += 10 * KQ_MS;
   kq_request_guard_tick (fixture.guard, fixture.now);
   expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
   CU_ASSERT (last (&fixture.caller)->token[0] == 5 && fixture.target.count == 2);
