Fault cases wait for one view, cold start is a case of its own

The first trial of all cases over the real programs broke flows wherever traffic met instances that still learned of each other. That is one fault and it hid others, so the driver now waits until every instance counts the same members and the homes of the buckets add up, and a case of its own starts traffic before that. The probe of a port asked for a resource with no service named, which targets rightly counted as a wrong service; it now asks for the load.

--- a/tests/integration/cluster.py
+++ b/tests/integration/cluster.py
@@ -16,6 +16,7 @@
            "utleie": ["no-ost-a", "no-ost-b", "no-ost-c"],
            "dokument": ["no-ost-a", "no-ost-b", "no-ost-c"]}
 START_S = 15
+BUCKETS = 256
 
 
 def service_document(name, **changes):
@@ -28,6 +29,12 @@
     return document
 
 
+def read_metrics(text):
+    """Returns name -> value of Prometheus text, without labels."""
+    lines = [line.rsplit(" ", 1) for line in text.splitlines() if line and line[0] != "#"]
+    return {name.split("{")[0]: float(value) for name, value in lines}
+
+
 def encode(text):
     return base64.b64encode(text.encode()).decode()
 
@@ -115,7 +122,7 @@
             "store": {"endpoints": [self.store_seen], "timeout_ms": 1000},
             "http": {"address": f"{ip}:6200", "operator_key": OPERATOR_KEY},
             "shutdown": {"linger_s": 2, **shutdown}})
-        process = self.start(name, "kumquat-balancer", path)
+        process = self.start(name, "kumquat-balancer", "--config", path)
         if number not in self.balancers:
             self.balancers.append(number)
         if wait:
@@ -166,7 +173,7 @@
             "flows": {"idle_s": 20},
             "shutdown": {"linger_s": 2, "drain_limit_s": 30},
             **settings})
-        return self.start(name, "kumquat-agent", path)
+        return self.start(name, "kumquat-agent", "--config", path)
 
     def start_fabric(self, *options, services=tuple(PORTS)):
         arguments = ["--ip", self.ip(0, 10), "--seed", self.seed, "--control", "--seconds", "110"]
@@ -188,9 +195,30 @@
 
     def wait_serving(self, timeout=START_S):
         """Waits until every agent serves and every balancer knows the configuration."""
-        for name in [*self.agents, *(f"balancer-{n}" for n in self.balancers)]:
+        for name in self.running():
             self.wait_ready(name, timeout)
 
+    def running(self):
+        names = [*self.agents, *(f"balancer-{n}" for n in self.balancers)]
+        return [n for n in names if n in self.processes
+                and self.processes[n].popen.poll() is None]
+
+    def wait_converged(self, timeout=START_S):
+        """Waits until all instances know each other and agree on the home of every bucket."""
+        def converged():
+            names = self.running()
+            homes = {}
+            for name in names:
+                metrics = read_metrics(get(self.http(name) + "/metrics")[1])
+                if metrics.get("kumquat_members") != len(names):
+                    return False
+                if metrics.get("kumquat_buckets_syncing"):
+                    return False
+                service = name.rsplit("-", 1)[0]
+                homes[service] = homes.get(service, 0) + metrics.get("kumquat_buckets_home", 0)
+            return all(n == BUCKETS for s, n in homes.items() if s != "balancer")
+        wait_for("one view on all instances", converged, timeout)
+
     def end_callers(self, timeout=20):
         """Ends the traffic, lets open requests finish, and waits for the summaries."""
         for name in self.callers:
--- a/tests/integration/scenario.py
+++ b/tests/integration/scenario.py
@@ -9,7 +9,7 @@
 from processes import Failure
 
 IN_FORCE_S = 2.0  # today's fleet: a confirmed configuration is in force within this
-PROBE = bytes([0x51, 0x01, 0x00, 0x01, 0x01])  # CoAP NON GET, token of one byte
+PROBE = bytes([0x51, 0x01, 0x00, 0x01, 0x01, 0xB4]) + b"load"  # CoAP NON GET /load
 STANDARD_TRAFFIC = {"scoring": ["--flows", 20, "--feeds", 6, "--think-ms", 30, "--life-ms", 3000],
                     "utleie": ["--flows", 20, "--think-ms", 30, "--life-ms", 3000],
                     "media": ["--flows", 12, "--think-ms", 10, "--life-ms", 5000],
@@ -165,8 +165,10 @@
             cluster.start_target(service, index, *options.get(str(index), []),
                                  **case.get("agent", {}))
     cluster.wait_serving()
+    if not case.get("cold"):
+        cluster.wait_converged()
     cluster.start_fabric(*case.get("fabric", []), services=tuple(services))
-    for service in services:
+    for service in case.get("traffic", services):
         cluster.start_caller(service, *STANDARD_TRAFFIC[service], "--seconds", 60,
                              *case.get("caller", []))
         cluster.processes[cluster.callers[-1]].wait_log("ready")
@@ -193,7 +195,7 @@
         seen = {name: count for name, count in verdict.counts().items() if count}
         if scenario.config_late:
             seen["config_late"] = scenario.config_late
-        for service in case["services"]:
+        for service in case.get("traffic", case["services"]):
             if records.total(cluster.folder, service, "whole") == 0:
                 seen["no_traffic"] = 1
         details = verdict.details + scenario.details
