--- a/src/request/request_guard.c
+++ b/src/request/request_guard.c
@@ -146,7 +146,7 @@
       if (kq_flow_key_equal (&exchange->key, key))
         {
           uint8_t bytes[KQ_DATAGRAM_BYTES];
-          size_t size = kq_guard_refusal (&exchange->back, 0, bytes);
+          size_t size = kq_guard_end_of_feed (&exchange->back, bytes);
           kq_guard_notify (guard, exchange, KQ_COAP_NON, bytes, size, now);
           kq_guard_end_observation (guard, exchange, true);
         }
@@ -161,6 +161,21 @@
   kq_guard_fill (guard, now);
 }
 
+void
+kq_request_guard_set_limits (KqRequestGuard *guard, const KqRequestGuardParams *limits, KqTime now)
+{
+  KqRequestGuardParams *params = &guard->params;
+  params->slots = limits->slots;
+  params->queue_max = limits->queue_max;
+  params->deadline_us = limits->deadline_us;
+  params->class_count = limits->class_count;
+  params->default_worth = limits->default_worth;
+  memcpy (params->classes, limits->classes, sizeof params->classes);
+  guard->queue.max = limits->queue_max;
+  kq_request_costs_set_classes (&guard->costs, params);
+  kq_guard_fill (guard, now);
+}
+
 void
 kq_request_guard_rotate_echo_key (KqRequestGuard *guard, const uint8_t key[32])
 {
