A target announces its service before it takes flows

Journals of two targets show the same new flow admitted 30 ms apart by two agents that became serving at once and did not know of each other: a member had service 0 until its configuration came, so no view held it, and each took itself for the home of the bucket. Ruled out: the fabric's faults (no moved flow later than 1.3 s), drains and the killed balancer.

--- a/include/kumquat/internal/agent_impl.h
+++ b/include/kumquat/internal/agent_impl.h
@@ -31,6 +31,7 @@
  * struct KqAgent - one agent
  * @life: talloc parent of what one incarnation believes: @placement, @guard and @flows; NULL before
  *   the service is known
+ * @announced_at: when this agent first announced its service
  * @current_via: balancer of the datagram that is handled now, for refusals of flows not held
  */
 struct KqAgent
@@ -55,6 +56,7 @@
   const KqAddress *current_via;
   KqAgentCounters counters;
   KqTargetPhase phase;
+  KqTime announced_at;
   bool shutting_down;
   bool left;
   KqTime shutdown_at;
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -11,7 +11,8 @@
 #include "kumquat/log.h"
 #include "kumquat/service_document.h"
 
-#define TICK_MS 5
+#define TICK_MS                5
+#define SETTLE_PROBE_INTERVALS 6 /* gossip has reached the members by then */
 
 static KqMember
 own_member (const KqAgent *agent)
@@ -19,6 +20,15 @@
   return *kq_control_self (agent->control);
 }
 
+/* Targets that start at the same time must know of each other before one takes a flow. Otherwise
+ * two of them can each believe to be the home of a bucket and place the same flow twice. */
+static bool
+is_settled (const KqAgent *agent)
+{
+  KqTime settle = agent->params.control.probe_interval_us * SETTLE_PROBE_INTERVALS;
+  return kq_clock_now () - agent->announced_at >= settle;
+}
+
 static KqTargetPhase
 wanted_phase (const KqAgent *agent)
 {
@@ -28,6 +38,8 @@
   bool denied = agent->service.removed || !kq_service_admits (&agent->service, &self);
   if ((agent->shutting_down || denied) && !kq_test_switched_off ("drain"))
     return KQ_PHASE_DRAINING;
+  if (!is_settled (agent) && !kq_test_switched_off ("settle"))
+    return KQ_PHASE_STARTING;
   if (!kq_target_probe_answers (agent->probe) && agent->service.protocol == KQ_PROTOCOL_COAP)
     return KQ_PHASE_STARTING;
   return KQ_PHASE_SERVING;
@@ -91,6 +103,7 @@
   agent->service = *service;
   if (first)
     {
+      agent->announced_at = kq_clock_now ();
       kq_control_set_service (agent->control, service->number);
       if (kq_agent_life_start (agent) < 0)
         kq_log (LOG_ERR, "life-start-failed", "remedy=\"raise the memory limit\"");
@@ -192,6 +205,8 @@
       kq_placement_tick (agent->placement, now);
       kq_request_guard_tick (agent->guard, now);
     }
+  if (agent->phase == KQ_PHASE_STARTING)
+    update_phase (agent);
   if (agent->shutting_down)
     continue_shutdown (agent, now);
   tevent_add_timer (ev, agent, tevent_timeval_current_ofs (0, TICK_MS * 1000), on_tick, agent);
