Operators' HTTP interface: plan, confirm, status, report

Cause: operators need plans from any balancer, and confirms that do no harm when lost, repeated, racing or late. A confirm reads, writes one transaction, and after an unknown outcome reads and sends the same transaction again, which only one compare can match; documents name their last eight operations, so a repeat is found also under later changes. Reading every document for a plan was ruled out for its memory at fourteen thousand services: claims lead to the touched ones. Agents sample their counters into two rings, and the report adds them up on demand.

--- a/include/kumquat/internal/agent_impl.h
+++ b/include/kumquat/internal/agent_impl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "kumquat/agent.h"
+#include "kumquat/burn.h"
 #include "kumquat/http_server.h"
 #include "kumquat/internal/flow_sockets.h"
 #include "kumquat/internal/return_path.h"
@@ -42,6 +43,7 @@
   KqService service;
   KqHttpServer *http;
   KqMetrics *metrics;
+  KqBurn *burn;
   KqTargetProbe *probe;
   KqReturnPaths paths;
   KqRandom random;
--- a/include/kumquat/internal/store_message.h
+++ b/include/kumquat/internal/store_message.h
@@ -48,6 +48,7 @@
 /* Encoders return text owned by @parent. */
 char *kq_store_encode_range (const void *parent, const KqStoreRange *range);
 char *kq_store_encode_writes (const void *parent, const KqStoreWrite *writes, unsigned count);
+char *kq_store_encode_reads (const void *parent, const char *const *keys, unsigned count);
 char *kq_store_encode_watch (const void *parent, const char *prefix, uint64_t start_revision);
 
 /** kq_store_decode - Return: (owned by @parent) the message, or NULL with @error set */
--- /dev/null
+++ b/include/kumquat/operator_api.h
@@ -0,0 +1,58 @@
+/* HTTP interface for operators: plan, confirm, status, report, metrics, health. */
+#pragma once
+
+#include "kumquat/control.h"
+#include "kumquat/http_server.h"
+#include "kumquat/metrics.h"
+#include "kumquat/service_catalog.h"
+#include "kumquat/store.h"
+
+#define KQ_OPERATOR_KEYS_MAX 2 /* two, so that a key can be replaced without a gap */
+
+typedef struct KqOperatorApi KqOperatorApi;
+
+/**
+ * struct KqOperatorParams - what the interface needs; pointers are borrowed for its life
+ * @listen: its address
+ * @keys: (array): accepted keys; an empty text accepts nothing
+ * @key_count: length of @keys; with 0, anybody who reaches @listen may change the configuration
+ * @store: the platform's store
+ * @catalog: what is in force here
+ * @metrics: the process's registry, for the interface's own counters
+ */
+typedef struct
+{
+  KqAddress listen;
+  const char *keys[KQ_OPERATOR_KEYS_MAX];
+  unsigned key_count;
+  KqStore *store;
+  const KqServiceCatalog *catalog;
+  KqMetrics *metrics;
+} KqOperatorParams;
+
+/**
+ * struct KqOperatorOps - what the interface asks of its process
+ * @members: Return: (borrowed until the next event) live members
+ * @in_force: as kq_control_in_force()
+ * @format_metrics: Return: (owned by @parent) Prometheus text
+ * @not_ready: Return: (borrowed) why the process takes no traffic, or NULL when it does
+ */
+typedef struct
+{
+  const KqMember *(*members) (unsigned *count, void *data);
+  int (*in_force) (uint32_t service, KqInForce *in_force, void *data);
+  char *(*format_metrics) (const void *parent, void *data);
+  const char *(*not_ready) (void *data);
+} KqOperatorOps;
+
+/**
+ * kq_operator_api_new - listens; free it together with @params->store, with no event in between
+ *
+ * Return: (owned by @parent) the interface, or NULL with @error set.
+ */
+KqOperatorApi *kq_operator_api_new (const void *parent, struct tevent_context *ev,
+                                    const KqOperatorParams *params, const KqOperatorOps *ops,
+                                    void *data, KqError *error);
+
+/** kq_operator_api_port - Return: the port that is listened on */
+uint16_t kq_operator_api_port (const KqOperatorApi *api);
--- a/include/kumquat/plan.h
+++ b/include/kumquat/plan.h
@@ -54,6 +54,7 @@
  * @claims: (array): all claims
  * @members: (array): live members
  * @work: (array): targets whose agent answered
+ * @others: (array): services in force, to find a port that is taken
  * @operation: id of the operation, new for each plan
  * @number: number for the first new service; the next ones count up from it
  */
@@ -67,6 +68,8 @@
   unsigned member_count;
   const KqTargetWork *work;
   unsigned work_count;
+  const KqService *const *others;
+  unsigned other_count;
   const char *operation;
   uint32_t number;
 } KqPlanInput;
--- a/include/kumquat/store.h
+++ b/include/kumquat/store.h
@@ -75,6 +75,13 @@
 /** kq_store_read - reads every key that starts with @prefix; @done is called once */
 void kq_store_read (KqStore *store, const char *prefix, KqStoreDone done, void *data);
 
+#define KQ_STORE_KEYS_MAX 120
+
+/** kq_store_read_keys - reads up to KQ_STORE_KEYS_MAX keys in one call; those that do not exist are
+ * left out of the reply; @done is called once */
+void kq_store_read_keys (KqStore *store, const char *const *keys, unsigned count, KqStoreDone done,
+                         void *data);
+
 /** kq_store_write - compares and swaps @count keys at once; @done is called once */
 void kq_store_write (KqStore *store, const KqStoreWrite *writes, unsigned count, KqStoreDone done,
                      void *data);
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -178,6 +178,16 @@
     }
 }
 
+static void
+sample_burn (KqAgent *agent, KqTime now)
+{
+  KqRequestGuardStats stats = kq_request_guard_stats (agent->guard);
+  KqBurnCounts counts = { .total = stats.answered + stats.refused_not_run + stats.outcome_unknown,
+                          .good = stats.answered_in_time,
+                          .worth = stats.worth_answered };
+  kq_burn_sample (agent->burn, &counts, now);
+}
+
 static void
 on_tick (struct tevent_context *ev, struct tevent_timer *timer, struct timeval at, void *data)
 {
@@ -189,6 +199,7 @@
     {
       kq_placement_tick (agent->placement, now);
       kq_request_guard_tick (agent->guard, now);
+      sample_burn (agent, now);
     }
   if (agent->shutting_down)
     continue_shutdown (agent, now);
@@ -238,6 +249,12 @@
   agent->params = *params;
   talloc_set_destructor (agent, destroy);
   kq_random_seed_system (&agent->random);
+  agent->burn = kq_burn_new (agent, kq_clock_now ());
+  if (agent->burn == NULL)
+    {
+      kq_error_set (error, KQ_ERROR_FULL, "no memory; raise the memory limit");
+      goto error;
+    }
   agent->probe = kq_target_probe_new (agent, ev, &params->target, target_changed, agent, error);
   if (agent->probe == NULL || kq_agent_data_open (agent, error) < 0 ||
       start_control (agent, error) < 0 || kq_agent_http_open (agent, error) < 0)
--- a/src/process/agent_http.c
+++ b/src/process/agent_http.c
@@ -33,6 +33,8 @@
                stats->flows_admitted);
   set_counter (agent, "kumquat_flows_refused_total", "Flows that nobody took.",
                stats->flows_refused);
+  set_counter (agent, "kumquat_flows_lost_total", "Flows known here whose target died.",
+               stats->flows_lost);
   set_counter (agent, "kumquat_flows_expired_total", "Flows closed as idle.", stats->flows_expired);
   set_counter (agent, "kumquat_flows_placed_elsewhere_total",
                "Flows that this home gave to another target.", stats->flows_placed_elsewhere);
@@ -83,6 +85,34 @@
   set_gauge (agent, "kumquat_observers", "Feeds open at the target.", stats->observers);
 }
 
+static void
+set_window (KqAgent *agent, const char *name, const char *help, KqBurnWindow window, uint64_t value)
+{
+  KqMetric *metric = kq_metrics_gauge (
+      agent->metrics, name, help, "service", agent->params.service, "target", agent->params.name,
+      "failure_domain", agent->params.failure_domain, "window", kq_burn_window_name (window), NULL);
+  kq_metric_set (metric, (int64_t)value);
+}
+
+static void
+set_burn (KqAgent *agent)
+{
+  for (unsigned i = 0; i < KQ_BURN_WINDOWS; i++)
+    {
+      KqTime covered_us;
+      KqBurnCounts counts = kq_burn_counts (agent->burn, (KqBurnWindow)i, &covered_us);
+      set_window (agent, "kumquat_slo_window_requests", "Requests with an outcome in the window.",
+                  (KqBurnWindow)i, counts.total);
+      set_window (agent, "kumquat_slo_window_good_requests",
+                  "Requests answered in time in the window.", (KqBurnWindow)i, counts.good);
+      set_window (agent, "kumquat_slo_window_worth", "Worth answered in the window.",
+                  (KqBurnWindow)i, counts.worth);
+      set_window (agent, "kumquat_slo_window_covered_seconds",
+                  "Part of the window that this process has seen.", (KqBurnWindow)i,
+                  (uint64_t)(covered_us / KQ_SECOND));
+    }
+}
+
 static void
 set_agent (KqAgent *agent)
 {
@@ -109,6 +139,7 @@
 respond_metrics (KqAgent *agent, KqHttpRequest *request)
 {
   set_agent (agent);
+  set_burn (agent);
   if (agent->placement != NULL)
     {
       KqPlacementStats placement = kq_placement_stats (agent->placement);
--- /dev/null
+++ b/src/process/operator_report.c
@@ -0,0 +1,69 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/operator_impl.h"
+#include "kumquat/internal/report.h"
+#include "kumquat/internal/scrape.h"
+
+/* What the report says about itself; docs/howto/report.md says it at length. */
+#define SURVIVAL                                                                                   \
+  "Agents count for their own target and keep three days. An agent that is replaced starts again " \
+  "from 0, and what it counted is gone; covered_s says how much of each window the longest-lived " \
+  "agent has seen. Replaced balancers lose nothing that is shown here."
+
+/**
+ * struct Reporting - one report being made
+ */
+typedef struct
+{
+  KqOperatorApi *api;
+  KqHttpRequest *request;
+} Reporting;
+
+static void
+on_scraped (const KqScrapeResult *results, unsigned count, void *data)
+{
+  Reporting *reporting = data;
+  const KqServiceCatalog *catalog = reporting->api->params.catalog;
+  KqReportTarget *targets = talloc_zero_array (reporting, KqReportTarget, count + 1);
+  json_t *silent = json_array ();
+  unsigned used = 0;
+  for (unsigned i = 0; i < count; i++)
+    {
+      if (!results[i].answered)
+        {
+          json_array_append_new (silent, json_string (results[i].member.name));
+          continue;
+        }
+      targets[used].member = results[i].member;
+      kq_report_parse (results[i].body, &targets[used]);
+      used++;
+    }
+  json_t *services = json_array ();
+  for (unsigned i = 0; i < kq_service_catalog_count (catalog); i++)
+    {
+      const KqService *service = kq_service_catalog_at (catalog, i);
+      if (!service->removed)
+        json_array_append_new (services, kq_report_service (service, targets, used));
+    }
+  kq_operator_respond (reporting->request, 200,
+                       json_pack ("{s:o, s:o, s:s}", "services", services, "silent_agents", silent,
+                                  "survival", SURVIVAL));
+  talloc_free (reporting);
+}
+
+void
+kq_operator_report (KqOperatorApi *api, KqHttpRequest *request)
+{
+  unsigned count;
+  unsigned used = 0;
+  Reporting *reporting = talloc_zero (api, Reporting);
+  reporting->api = api;
+  reporting->request = request;
+  const KqMember *members = api->ops.members (&count, api->data);
+  KqMember *agents = talloc_array (reporting, KqMember, count + 1);
+  for (unsigned i = 0; i < count; i++)
+    if (members[i].role == KQ_ROLE_AGENT)
+      agents[used++] = members[i];
+  kq_scrape (reporting, api->ev, api->http, agents, used, "/metrics", on_scraped, reporting);
+}
--- a/src/process/store.c
+++ b/src/process/store.c
@@ -197,12 +197,14 @@
 
 /**
  * struct Write - one transaction in progress
+ * @reads: it only reads, so that it may be sent again
  */
 typedef struct
 {
   KqStore *store;
   char *body;
   unsigned tries;
+  bool reads;
   KqHttpCall *call;
   KqStoreDone done;
   void *data;
@@ -231,14 +233,15 @@
   KqStore *store = write->store;
   KqStoreReply reply = { 0 };
   bool refused = result->answered && result->status < STATUS_SERVER_ERROR;
-  if (result->sent && !refused)
+  bool maybe_done = result->sent && !write->reads;
+  if (maybe_done && !refused)
     kq_error_set (&reply.error, KQ_ERROR_UNKNOWN_OUTCOME,
                   "the store did not answer a write that was sent; read the key to learn whether "
                   "it took effect");
   else
     set_unavailable (store, &reply, result->answered ? "HTTP error" : result->failure);
   kq_store_failed (store);
-  if (!result->sent && ++write->tries < store->endpoint_count)
+  if (!maybe_done && ++write->tries < store->endpoint_count)
     send_write (write);
   else
     end_write (write, &reply);
@@ -278,12 +281,26 @@
                           .path = "/v3/kv/txn",
                           .body = write->body,
                           .timeout_us = store->timeout_us,
-                          .fresh = true,
+                          .fresh = !write->reads,
                           .done = on_write_done,
                           .data = write };
   write->call = kq_http_call (store->http, &params);
 }
 
+void
+kq_store_read_keys (KqStore *store, const char *const *keys, unsigned count, KqStoreDone done,
+                    void *data)
+{
+  Write *write = talloc_zero (store, Write);
+  write->store = store;
+  write->body = kq_store_encode_reads (write, keys, count);
+  write->reads = true;
+  write->done = done;
+  write->data = data;
+  talloc_set_destructor (write, destroy_write);
+  send_write (write);
+}
+
 void
 kq_store_write (KqStore *store, const KqStoreWrite *writes, unsigned count, KqStoreDone done,
                 void *data)
--- a/src/process/store_message.c
+++ b/src/process/store_message.c
@@ -97,6 +97,19 @@
                                        "failure", reads));
 }
 
+char *
+kq_store_encode_reads (const void *parent, const char *const *keys, unsigned count)
+{
+  json_t *reads = json_array ();
+  for (unsigned i = 0; i < count; i++)
+    {
+      json_t *read = json_object ();
+      json_object_set_new (read, "key", text_json (keys[i], strlen (keys[i])));
+      json_array_append_new (reads, json_pack ("{s:o}", "request_range", read));
+    }
+  return take_text (parent, json_pack ("{s:o}", "success", reads));
+}
+
 char *
 kq_store_encode_watch (const void *parent, const char *prefix, uint64_t start_revision)
 {
--- a/src/version/plan.c
+++ b/src/version/plan.c
@@ -190,6 +190,15 @@
   kq_plan_refuse (notes, after->name, what, "use another port");
 }
 
+static bool
+is_base (const KqPlanInput *input, uint32_t number)
+{
+  for (unsigned i = 0; i < input->base_count; i++)
+    if (input->bases[i].service.number == number)
+      return true;
+  return false;
+}
+
 static void
 check_ports (Planner *planner, KqPlanNotes *notes)
 {
@@ -200,6 +209,9 @@
         continue;
       for (unsigned j = 0; j < planner->input->base_count; j++)
         check_port (after, service_after (planner, &planner->input->bases[j]), notes);
+      for (unsigned j = 0; j < planner->input->other_count; j++)
+        if (!is_base (planner->input, planner->input->others[j]->number))
+          check_port (after, planner->input->others[j], notes);
       for (unsigned j = 0; j < planner->count; j++)
         if (planner->changes[j].base == NULL)
           check_port (after, &planner->changes[j].after, notes);
--- /dev/null
+++ b/standins/lib/store_codec.h
@@ -0,0 +1,14 @@
+/* JSON of the store's gateway as its stand-in reads and writes it: texts in base64, integers as
+ * texts. */
+#pragma once
+
+#include <jansson.h>
+
+#include "store_data.h"
+
+json_t *store_integer_json (uint64_t value);
+uint64_t store_read_integer (const json_t *object, const char *key);
+json_t *store_text_json (const void *bytes, size_t size);
+char *store_read_text (const void *parent, const json_t *object, const char *key, size_t *size);
+json_t *store_entry_json (const StoreEntry *entry);
+bool store_is_inside (const char *key, const char *start, const char *end);
--- /dev/null
+++ b/tests/unit/test_operator_api.c
@@ -0,0 +1,339 @@
+/* Contract of the operators' interface, and what a confirm says when the store fails. */
+
+#include <CUnit/Basic.h>
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/http_client.h"
+#include "kumquat/log.h"
+#include "operator_host.h"
+#include "store_server.h"
+#include "unit.h"
+
+#define CREATE                                                                                     \
+  "{\"intents\":[{\"kind\":\"create\",\"service\":\"scoring\",\"settings\":{\"port\":5683}}]}"
+#define DRAIN "{\"intents\":[{\"kind\":\"drain\",\"service\":\"scoring\",\"name\":\"bole\"}]}"
+#define WORTH                                                                                      \
+  "{\"intents\":[{\"kind\":\"worth\",\"service\":\"scoring\",\"name\":\"marks\",\"value\":9}]}"
+#define MEDIA                                                                                      \
+  "{\"intents\":[{\"kind\":\"create\",\"service\":\"media\",\"settings\":{\"port\":5684}}]}"
+#define UTLEIE                                                                                     \
+  "{\"intents\":[{\"kind\":\"create\",\"service\":\"utleie\",\"settings\":{\"port\":5685}}]}"
+#define TAKEN_PORT                                                                                 \
+  "{\"intents\":[{\"kind\":\"create\",\"service\":\"dokument\",\"settings\":{\"port\":5684}}]}"
+
+/**
+ * struct Answer - an answer of the interface
+ */
+typedef struct
+{
+  bool done;
+  unsigned status;
+  char *text;
+} Answer;
+
+static struct tevent_context *ev;
+static StoreServer *server;
+static OperatorHost *host;
+static KqHttpClient *client;
+static KqAddress address;
+static const char *operator_key;
+
+static void
+set_up (const char *key)
+{
+  KqAddress store;
+  kq_log_set_level (LOG_ERR);
+  ev = tevent_context_init (NULL);
+  kq_address_parse ("127.0.0.1:0", &address, NULL);
+  server = store_server_new (ev, ev, &address, NULL, NULL);
+  store = address;
+  store.port = store_server_port (server);
+  host = operator_host_new (ev, ev, &address, &store, key, NULL);
+  client = kq_http_client_new (ev, ev, NULL);
+  address.port = operator_host_port (host);
+  operator_key = key;
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (ev);
+}
+
+static void
+on_answer (const KqHttpResult *result, void *data)
+{
+  Answer *answer = data;
+  answer->done = true;
+  answer->status = result->status;
+  answer->text = talloc_strndup (ev, result->body, result->size);
+}
+
+static void
+ask (Answer *answer, const char *method, const char *path, const char *body)
+{
+  memset (answer, 0, sizeof *answer);
+  KqHttpParams params = { .address = address,
+                          .method = method,
+                          .path = path,
+                          .bearer = operator_key,
+                          .body = body,
+                          .timeout_us = 20 * KQ_SECOND,
+                          .done = on_answer,
+                          .data = answer };
+  kq_http_call (client, &params);
+}
+
+static void
+wait_for (const Answer *answer)
+{
+  while (!answer->done)
+    tevent_loop_once (ev);
+}
+
+static Answer
+get (const char *path)
+{
+  Answer answer;
+  ask (&answer, "GET", path, NULL);
+  wait_for (&answer);
+  return answer;
+}
+
+static Answer
+post (const char *path, const char *body)
+{
+  Answer answer;
+  ask (&answer, "POST", path, body);
+  wait_for (&answer);
+  return answer;
+}
+
+static bool
+says (const Answer *answer, unsigned status, const char *text)
+{
+  return answer->status == status && strstr (answer->text, text) != NULL;
+}
+
+static char *
+plan (const char *request)
+{
+  Answer answer = post ("/v1/plan", request);
+  CU_ASSERT (says (&answer, 200, "\"digest\""));
+  return answer.text;
+}
+
+static void
+create_scoring (void)
+{
+  Answer answer = post ("/v1/confirm", plan (CREATE));
+  CU_ASSERT (says (&answer, 200, "\"outcome\":\"yes\""));
+  while (!says (&answer, 200, "\"name\":\"scoring\""))
+    answer = get ("/v1/services");
+}
+
+static void
+test_plan_confirm_status (void)
+{
+  set_up (NULL);
+  Answer answer = get ("/readyz");
+  CU_ASSERT (says (&answer, 503, "no configuration yet"));
+  create_scoring ();
+  answer = get ("/readyz");
+  CU_ASSERT (says (&answer, 200, "ready"));
+  char *text = plan (DRAIN);
+  CU_ASSERT (strstr (text, "\"effect\":\"drains\",\"failure_domain\":\"bole\",\"flows\":10") !=
+             NULL);
+  answer = get ("/v1/status");
+  CU_ASSERT (says (&answer, 200, "\"drains\":[]"));
+  answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 200, "\"outcome\":\"yes\""));
+  while (!says (&answer, 200, "\"drains\":[{"))
+    answer = get ("/v1/status");
+  CU_ASSERT (says (&answer, 200, "\"flows\":10,\"name\":\"scoring-1\",\"requests\":2"));
+  tear_down ();
+}
+
+static void
+test_same_confirm_twice_is_one_change (void)
+{
+  set_up (NULL);
+  create_scoring ();
+  char *text = plan (DRAIN);
+  post ("/v1/confirm", text);
+  Answer answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 200, "it is one change"));
+  /* Also under a later change by somebody else. */
+  post ("/v1/confirm", plan (WORTH));
+  answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 200, "it is one change"));
+  tear_down ();
+}
+
+static void
+test_changed_base_is_refused_with_the_difference (void)
+{
+  set_up (NULL);
+  create_scoring ();
+  char *first = plan (DRAIN);
+  char *second = plan (WORTH);
+  post ("/v1/confirm", first);
+  Answer answer = post ("/v1/confirm", second);
+  CU_ASSERT (says (&answer, 409, "denied.bole: '' -> 'limit of the service'"));
+  CU_ASSERT (says (&answer, 409, "plan again"));
+  tear_down ();
+}
+
+static void
+test_racing_operators (void)
+{
+  Answer first;
+  Answer second;
+  set_up (NULL);
+  create_scoring ();
+  char *media = plan (MEDIA);
+  char *utleie = plan (UTLEIE);
+  char *clash = plan (TAKEN_PORT);
+  ask (&first, "POST", "/v1/confirm", media);
+  ask (&second, "POST", "/v1/confirm", utleie);
+  wait_for (&first);
+  wait_for (&second);
+  CU_ASSERT (says (&first, 200, "yes") && says (&second, 200, "yes"));
+  first = post ("/v1/confirm", clash);
+  CU_ASSERT (says (&first, 409, "claims/port/5684 was taken by another service"));
+  char *drain = plan (DRAIN);
+  char *worth = plan (WORTH);
+  ask (&first, "POST", "/v1/confirm", drain);
+  ask (&second, "POST", "/v1/confirm", worth);
+  wait_for (&first);
+  wait_for (&second);
+  CU_ASSERT (first.status + second.status == 200 + 409);
+  tear_down ();
+}
+
+static void
+test_lost_answer_is_found_out_by_reading (void)
+{
+  set_up (NULL);
+  create_scoring ();
+  char *text = plan (DRAIN);
+  store_server_admin (server, "lose_answers", 1);
+  Answer answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 200, "\"outcome\":\"yes\""));
+  char *worth = plan (WORTH);
+  store_server_admin (server, "lose_requests", 1);
+  answer = post ("/v1/confirm", worth);
+  CU_ASSERT (says (&answer, 200, "\"outcome\":\"yes\""));
+  tear_down ();
+}
+
+static void
+test_silent_store_is_not_known_yet (void)
+{
+  set_up (NULL);
+  create_scoring ();
+  char *text = plan (DRAIN);
+  store_server_admin (server, "lose_requests", 99);
+  Answer answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 503, "\"outcome\":\"unknown\""));
+  CU_ASSERT (says (&answer, 503, "confirm the same plan again"));
+  store_server_admin (server, "lose_requests", 0);
+  answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 200, "\"outcome\":\"yes\""));
+  tear_down ();
+}
+
+static void
+test_store_down_is_no (void)
+{
+  set_up (NULL);
+  create_scoring ();
+  char *text = plan (DRAIN);
+  store_server_admin (server, "down", 1);
+  Answer answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 503, "\"outcome\":\"no\""));
+  CU_ASSERT (says (&answer, 503, "what is in force stays in force"));
+  answer = post ("/v1/plan", DRAIN);
+  CU_ASSERT (says (&answer, 503, "unavailable"));
+  answer = get ("/v1/status");
+  CU_ASSERT (says (&answer, 200, "\"store_reachable\":false"));
+  answer = get ("/readyz");
+  CU_ASSERT (says (&answer, 200, "ready"));
+  store_server_admin (server, "down", 0);
+  answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 200, "\"outcome\":\"yes\""));
+  tear_down ();
+}
+
+static void
+test_wrong_key_is_counted_and_refused (void)
+{
+  set_up ("right");
+  operator_key = "wrong";
+  Answer answer = get ("/v1/status");
+  CU_ASSERT (says (&answer, 401, "operator key is missing or wrong"));
+  answer = post ("/v1/plan", CREATE);
+  CU_ASSERT (answer.status == 401);
+  answer = get ("/metrics");
+  CU_ASSERT (says (&answer, 200, "kumquat_operator_denied_total 2"));
+  operator_key = "right";
+  answer = get ("/v1/status");
+  CU_ASSERT (answer.status == 200);
+  tear_down ();
+}
+
+static void
+test_bad_requests_are_typed_errors (void)
+{
+  set_up (NULL);
+  Answer answer = post ("/v1/plan", "{");
+  CU_ASSERT (says (&answer, 400, "request is not JSON"));
+  answer = post ("/v1/confirm", "{}");
+  CU_ASSERT (says (&answer, 400, "this is not a plan"));
+  answer = get ("/v1/nothing");
+  CU_ASSERT (says (&answer, 404, "unknown path"));
+  answer = post ("/v1/plan", DRAIN);
+  CU_ASSERT (says (&answer, 404, "service 'scoring' does not exist"));
+  tear_down ();
+}
+
+static void
+test_report_adds_up (void)
+{
+  set_up (NULL);
+  create_scoring ();
+  Answer answer = get ("/v1/report");
+  json_t *root = json_loads (answer.text, 0, NULL);
+  json_t *service = json_array_get (json_object_get (root, "services"), 0);
+  CU_ASSERT (json_integer_value (json_object_get (service, "answered")) == 3960);
+  CU_ASSERT (json_integer_value (json_object_get (service, "broken_flows")) == 4);
+  CU_ASSERT (json_real_value (json_object_get (service, "budget_left_percent")) > 49.9);
+  CU_ASSERT (json_real_value (json_object_get (service, "budget_left_percent")) < 50.1);
+  json_t *window = json_array_get (json_object_get (service, "windows"), 0);
+  CU_ASSERT (json_real_value (json_object_get (window, "burn")) > 1.9);
+  CU_ASSERT (json_real_value (json_object_get (window, "burn")) < 2.1);
+  CU_ASSERT (json_array_size (json_object_get (service, "failure_domains")) == 3);
+  json_decref (root);
+  tear_down ();
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "plan, confirm, status", test_plan_confirm_status },
+    { "same confirm twice is one change", test_same_confirm_twice_is_one_change },
+    { "changed base is refused with the difference",
+      test_changed_base_is_refused_with_the_difference },
+    { "racing operators", test_racing_operators },
+    { "lost answer is found out by reading", test_lost_answer_is_found_out_by_reading },
+    { "silent store is not known yet", test_silent_store_is_not_known_yet },
+    { "store down is no", test_store_down_is_no },
+    { "wrong key is counted and refused", test_wrong_key_is_counted_and_refused },
+    { "bad requests are typed errors", test_bad_requests_are_typed_errors },
+    { "report adds up", test_report_adds_up },
+  };
+  return kq_unit_run ("operator_api", tests, sizeof tests / sizeof tests[0]);
+}
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -169,6 +169,23 @@
   tear_down ();
 }
 
+static void
+test_reads_chosen_keys_in_one_call (void)
+{
+  char keys[2][96];
+  Got got = { 0 };
+  set_up ();
+  write_key ("a", "one", 0);
+  write_key ("ab", "two", 0);
+  snprintf (keys[0], sizeof keys[0], "%sa", prefix);
+  snprintf (keys[1], sizeof keys[1], "%smissing", prefix);
+  const char *wanted[] = { keys[0], keys[1] };
+  kq_store_read_keys (store, wanted, 2, on_reply, &got);
+  wait_calls (&got, 1);
+  CU_ASSERT (got.kind == KQ_ERROR_NONE && got.count == 1 && strcmp (got.text, "one") == 0);
+  tear_down ();
+}
+
 static void
 test_large_value (void)
 {
@@ -334,6 +351,7 @@
     { "writes happen together or not", test_writes_happen_together_or_not },
     { "read goes over pages", test_read_goes_over_pages },
     { "watch tells the whole, then changes", test_watch_tells_the_whole_then_changes },
+    { "reads chosen keys in one call", test_reads_chosen_keys_in_one_call },
     { "large value", test_large_value },
     { "refused connection is no effect", test_refused_connection_is_no_effect },
     { "lost answer is unknown outcome", test_lost_answer_is_unknown_outcome },
