Benches of the decisions, and fewer refusals after changes

Routing, choice, flows and state each print a table with baselines and targets (make bench-decisions). A home asks four others instead of seven: more gained nothing measurable and cost up to 15 messages a flow.

--- a/Makefile
+++ b/Makefile
@@ -131,3 +131,10 @@
 	python3 bench/bench_path.py
 
 .PHONY: demo proof proof-off proof-page bench
+
+# Prints every table of measured decisions, with baselines and targets.
+bench-decisions: benches
+	@set -e; for bench in $(B)/bench/decisions_*; do \
+	  case $$bench in *.*) continue;; esac; echo "== $$bench"; $$bench; echo; done
+
+.PHONY: bench-decisions
--- /dev/null
+++ b/bench/decisions_choice.c
@@ -0,0 +1,145 @@
+/* Choice of the target under load: the real placements, with their messages on a network of 0.5 ms,
+ * against one hash, random, two choices on late loads, and full knowledge. */
+
+#include <stdio.h>
+
+#include "choice_run.h"
+
+#define SEEDS   3
+#define SECONDS 100
+
+typedef struct
+{
+  const char *name;
+  KqChoiceParams params;
+  double p99_limit;   /* times the p99 wait under full knowledge; 0 when no target is set */
+  double worth_limit; /* share of the worth under full knowledge */
+} Case;
+
+static const char *const policy_names[] = {
+  "one hash",  "random",         "two choices, late loads",
+  "placement", "full knowledge", "full knowledge of rates"
+};
+
+static KqChoiceResult
+mean_of_seeds (KqChoiceParams params, KqChoicePolicy policy)
+{
+  KqChoiceResult mean = { 0 };
+  params.policy = policy;
+  params.seconds = SECONDS;
+  params.admit_load = 800;
+  for (params.seed = 1; params.seed <= SEEDS; params.seed++)
+    {
+      KqChoiceResult one = kq_choice_run (&params);
+      mean.mean += one.mean / SEEDS;
+      mean.p99 += one.p99 / SEEDS;
+      mean.worth += one.worth / SEEDS;
+      mean.messages += one.messages / SEEDS;
+      mean.requests += one.requests;
+      mean.lost += one.lost;
+    }
+  return mean;
+}
+
+static void
+print_row (const char *name, const KqChoiceResult *result, const KqChoiceResult *full)
+{
+  printf ("  %-25s %8.3f %8.2f %7.2f %9.3f %9.2f %9llu %5llu\n", name, result->mean, result->p99,
+          result->p99 / full->p99, result->worth / full->worth, result->messages,
+          (unsigned long long)result->requests, (unsigned long long)result->lost);
+}
+
+static void
+print_verdict (const Case *one, const KqChoiceResult *placement, const KqChoiceResult *full)
+{
+  double p99 = placement->p99 / full->p99;
+  double worth = placement->worth / full->worth;
+  if (one->p99_limit > 0)
+    printf ("  target: p99 wait at most %.2f times full knowledge: %.2f, %s\n", one->p99_limit, p99,
+            p99 <= one->p99_limit ? "met" : "missed");
+  if (one->worth_limit > 0)
+    printf ("  target: worth answered at least %.2f of full knowledge: %.3f, %s\n",
+            one->worth_limit, worth, worth >= one->worth_limit ? "met" : "missed");
+}
+
+static void
+run_case (const Case *one)
+{
+  bool flows = one->params.flow_requests > 1;
+  KqChoiceResult full = mean_of_seeds (one->params, KQ_POLICY_FULL);
+  KqChoiceResult placement = { 0 };
+  printf ("\n%s\n", one->name);
+  for (KqChoicePolicy policy = KQ_POLICY_HASH; policy < KQ_POLICY_FULL; policy++)
+    {
+      KqChoiceResult result = mean_of_seeds (one->params, policy);
+      print_row (policy_names[policy], &result, &full);
+      if (policy == KQ_POLICY_PLACEMENT)
+        placement = result;
+    }
+  print_row (policy_names[KQ_POLICY_FULL], &full, &full);
+  if (flows)
+    {
+      KqChoiceResult rates = mean_of_seeds (one->params, KQ_POLICY_FULL_RATES);
+      print_row (policy_names[KQ_POLICY_FULL_RATES], &rates, &full);
+    }
+  print_verdict (one, &placement, &full);
+}
+
+static void
+run_lying (void)
+{
+  KqChoiceParams truth = { .load = 0.85, .flow_requests = 1 };
+  KqChoiceParams lie = truth;
+  lie.lying = true;
+  KqChoiceResult full = mean_of_seeds (truth, KQ_POLICY_FULL);
+  KqChoiceResult two_true = mean_of_seeds (truth, KQ_POLICY_TWO_LATE);
+  KqChoiceResult two_lied = mean_of_seeds (lie, KQ_POLICY_TWO_LATE);
+  KqChoiceResult place_true = mean_of_seeds (truth, KQ_POLICY_PLACEMENT);
+  KqChoiceResult place_lied = mean_of_seeds (lie, KQ_POLICY_PLACEMENT);
+  printf ("\n85 %% load, the load endpoint of one target reports 0 (agents count requests "
+          "themselves)\n");
+  print_row ("two choices, true", &two_true, &full);
+  print_row ("two choices, lied to", &two_lied, &full);
+  print_row ("placement, true", &place_true, &full);
+  print_row ("placement, lied to", &place_lied, &full);
+  printf ("  target: p99 wait with the lie no worse than without: %.2f and %.2f, %s\n",
+          place_lied.p99, place_true.p99, place_lied.p99 <= place_true.p99 ? "met" : "missed");
+}
+
+int
+main (void)
+{
+  static const Case cases[] = {
+    { "85 % load, even targets", { .load = 0.85, .flow_requests = 1 }, 1.25, 0 },
+    { "85 % load, one target at half speed",
+      { .load = 0.85, .slow = true, .flow_requests = 1 },
+      1.25,
+      0 },
+    { "85 % load, one target starts cold every 20 s",
+      { .load = 0.85, .cold = true, .flow_requests = 1 },
+      1.25,
+      0 },
+    { "85 % load, a tenth of the requests cost 11 times the others",
+      { .load = 0.85, .unequal = true, .flow_requests = 1 },
+      1.25,
+      0 },
+    { "1.3 times overload, worths 1 and 10, deadline 5 service times",
+      { .load = 1.3, .worth = true, .flow_requests = 1 },
+      0,
+      0.97 },
+    { "85 % load, flows of 40 requests that stay with their target (no target set)",
+      { .load = 0.85, .flow_requests = 40 },
+      0,
+      0 },
+  };
+  printf ("choice of target: 7 targets of 5 slots, means of seeds 1 to %d over %d s each;\n"
+          "waits from the balancer to the start of the work, in mean service times of 50 ms\n\n",
+          SEEDS, SECONDS);
+  printf ("  %-25s %8s %8s %7s %9s %9s %9s %5s\n", "", "mean", "p99", "p99 /", "worth /",
+          "messages", "requests", "lost");
+  printf ("  %-25s %8s %8s %7s %9s %9s\n", "", "wait", "wait", "full", "full", "/ request");
+  for (unsigned i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    run_case (&cases[i]);
+  run_lying ();
+  return 0;
+}
--- a/include/kumquat/internal/placement_state.h
+++ b/include/kumquat/internal/placement_state.h
@@ -158,8 +158,8 @@
 } KqReservation;
 
 /**
- * struct KqStranger - an agent that sent a sync request and is not in the view
- * @until: forgotten then, unless it asks again
+ * struct KqStranger - an agent that is not in the view, but asked for flows or was named by others
+ * @until: forgotten then
  */
 typedef struct
 {
@@ -184,6 +184,8 @@
  * @directory: flows of this agent's buckets that other targets hold
  * @digest: of the targets known
  * @departed: lives that left the view, the last KQ_DEPARTED_MAX of them
+ * @strangers: those that asked for flows
+ * @silent: those that did not answer, and are not waited for again for a while
  * @last_number: of requests sent; never used twice in one life
  */
 struct KqPlacement
@@ -202,6 +204,8 @@
   KqPeer departed[KQ_DEPARTED_MAX];
   unsigned departed_count;
   KqStranger strangers[KQ_STRANGERS_MAX];
+  KqStranger silent[KQ_STRANGERS_MAX];
+  unsigned silent_next;
   KqBucket buckets[KQ_BUCKETS];
   KqFlowShard *flows;
   KqFlowShard *directory;
@@ -229,7 +233,9 @@
 const KqTarget *kq_placement_target (const KqPlacement *placement, uint64_t id);
 bool kq_placement_is_gone (const KqPlacement *placement, const KqPeer *peer);
 bool kq_placement_is_stranger (const KqPlacement *placement, const KqPeer *peer);
+bool kq_placement_is_silent (const KqPlacement *placement, const KqPeer *peer, KqTime now);
 void kq_placement_meet (KqPlacement *placement, const KqPeer *peer, KqTime now);
+void kq_placement_give_up (KqPlacement *placement, const KqPeer *peer, KqTime now);
 
 /* placement_pending.c */
 KqPending *kq_pending_find (KqPlacement *placement, const KqFlowKey *key);
@@ -261,6 +267,10 @@
                       KqTime now);
 void kq_sync_tick (KqPlacement *placement, KqTime now);
 
+/* placement_sync_answer.c */
+void kq_sync_answer (KqPlacement *placement, const KqPeer *from, const KqPlacementMessage *request,
+                     KqTime now);
+
 /* placement_directory.c */
 void kq_directory_drop_gone (KqPlacement *placement, KqTime now);
 void kq_directory_drop_buckets (KqPlacement *placement, const uint8_t buckets[KQ_BUCKET_SET_BYTES],
--- a/include/kumquat/placement.h
+++ b/include/kumquat/placement.h
@@ -38,7 +38,7 @@
  * @admit_load: a new flow stays here without asking others while the load is below this
  * @seed: seed of the generator
  * @load_step: what one more request adds to the load (1000 / slots); 0 when not known
- * @ask_max: targets asked for their load before a placement, 1 to 8; 0 means 7
+ * @ask_max: targets asked for their load before a placement, 1 to 8; 0 means 4
  */
 typedef struct
 {
--- a/src/connection/flow_shard.c
+++ b/src/connection/flow_shard.c
@@ -3,6 +3,7 @@
  * whole copy. While it moves, a flow is in exactly one of the two slot arrays. Removal shifts later
  * entries back; in the array that is being left it marks the slot instead. */
 
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -10,6 +11,7 @@
 #include "kumquat/internal/flow_shard.h"
 #include "kumquat/internal/peer_table.h"
 
+#define CACHE_LINE     64
 #define SLOTS_FIRST    64
 #define MOVED_PER_OP   8   /* slots moved to the larger array with each new flow */
 #define MOVED_PER_TURN 256 /* slots moved with each turn of the clock hand */
@@ -35,6 +37,7 @@
 
 typedef struct
 {
+  void *memory;
   Slot *slots;
   unsigned size;
 } SlotArray;
@@ -123,6 +126,36 @@
   return &array->slots[i];
 }
 
+/* The array comes from calloc, which takes large ones from the system as pages that are zero when
+ * they are first used; clearing a megabyte at once would hold the shard's lock for a millisecond.
+ */
+static int
+array_alloc (SlotArray *array, unsigned size)
+{
+  array->memory = calloc (1, size * sizeof (Slot) + CACHE_LINE);
+  if (array->memory == NULL)
+    return -1;
+  uintptr_t start = (uintptr_t)array->memory;
+  array->slots = (Slot *)((start + CACHE_LINE - 1) / CACHE_LINE * CACHE_LINE);
+  array->size = size;
+  return 0;
+}
+
+static void
+array_free (SlotArray *array)
+{
+  free (array->memory);
+  *array = (SlotArray){ 0 };
+}
+
+static int
+destroy (KqFlowShard *shard)
+{
+  array_free (&shard->now);
+  array_free (&shard->old);
+  return 0;
+}
+
 KqFlowShard *
 kq_flow_shard_new (const void *parent, unsigned capacity, unsigned caller_max)
 {
@@ -131,12 +164,11 @@
     return NULL;
   shard->capacity = capacity;
   shard->caller_max = caller_max;
-  shard->now.size = SLOTS_FIRST;
-  shard->now.slots = talloc_zero_array (shard, Slot, SLOTS_FIRST);
+  talloc_set_destructor (shard, destroy);
+  bool slots = array_alloc (&shard->now, SLOTS_FIRST) == 0;
   shard->peers = kq_peer_table_new (shard);
   shard->callers = caller_max == 0 ? NULL : kq_caller_count_new (shard);
-  if (shard->now.slots == NULL || shard->peers == NULL ||
-      (caller_max != 0 && shard->callers == NULL))
+  if (!slots || shard->peers == NULL || (caller_max != 0 && shard->callers == NULL))
     TALLOC_FREE (shard);
   return shard;
 }
@@ -153,10 +185,7 @@
           slot->state = SLOT_LEFT;
         }
       if (shard->moved == shard->old.size)
-        {
-          TALLOC_FREE (shard->old.slots);
-          shard->old.size = 0;
-        }
+        array_free (&shard->old);
     }
 }
 
@@ -165,15 +194,13 @@
 {
   if (shard->old.slots != NULL)
     move_some (shard, shard->old.size);
-  unsigned size = shard->now.size + shard->now.size / 2;
-  Slot *slots = talloc_zero_array (shard, Slot, size);
-  if (slots == NULL)
+  SlotArray larger;
+  if (array_alloc (&larger, shard->now.size + shard->now.size / 2) < 0)
     return -1;
   shard->old = shard->now;
+  shard->now = larger;
   shard->moved = 0;
   shard->hand = 0;
-  shard->now.slots = slots;
-  shard->now.size = size;
   return 0;
 }
 
@@ -193,7 +220,9 @@
   Slot *slot = find (shard, key, hash);
   if (slot == NULL)
     return false;
-  slot->used_ms = to_ms (now);
+  uint32_t ms = to_ms (now);
+  if (slot->used_ms != ms) /* spares writing the cache line back */
+    slot->used_ms = ms;
   if (owner != NULL)
     *owner = *kq_peer_table_get (shard->peers, slot->owner);
   return true;
--- a/src/connection/placement_choice.c
+++ b/src/connection/placement_choice.c
@@ -7,7 +7,7 @@
 
 #include "kumquat/internal/placement_state.h"
 
-#define ASK_DEFAULT   7           /* every other target of a service of eight */
+#define ASK_DEFAULT   4           /* more gain little; docs/design/placement.md has the figures */
 #define ASK_TIMEOUT   (5 * KQ_MS) /* several round trips between failure domains */
 #define ASK_TRIES_MAX 8
 #define PLACE_TIMEOUT (8 * KQ_MS)
--- a/src/connection/placement_sync.c
+++ b/src/connection/placement_sync.c
@@ -13,11 +13,10 @@
 #include "kumquat/internal/placement_state.h"
 
 #define REQUEST_TIMEOUT (20 * KQ_MS)
-#define BACKOFF_MAX     6               /* doublings of the timeout at most, 1.28 s */
-#define RECLAIM_DELAY   (5 * KQ_SECOND) /* as long as views lag; then the fenced home asks again */
-#define RESTART_DELAY   (200 * KQ_MS)   /* a round gets so long before more buckets restart it */
+#define BACKOFF_MAX     6             /* doublings of the timeout at most, 1.28 s */
+#define RESTART_DELAY   (200 * KQ_MS) /* a round gets so long before more buckets restart it */
 #define OVERFLOW_DELAY  KQ_SECOND
-#define STRANGER_WAIT   (10 * KQ_SECOND) /* an agent outside the view is waited for so long */
+#define STRANGER_WAIT   (3 * KQ_SECOND) /* a silent agent outside the view; above a 2 s freeze */
 
 static void
 send_request (KqPlacement *placement, KqSyncPeer *peer, KqTime now)
@@ -48,7 +47,8 @@
 add_peer (KqPlacement *placement, const KqPeer *peer, KqTime now)
 {
   KqSyncRound *round = &placement->round;
-  if (peer->id == placement->params.self.id || kq_placement_is_gone (placement, peer))
+  if (peer->id == placement->params.self.id || kq_placement_is_gone (placement, peer) ||
+      kq_placement_is_silent (placement, peer, now))
     return 0;
   KqSyncPeer *found = find_peer (round, peer->id);
   if (found != NULL && found->peer.incarnation >= peer->incarnation)
@@ -198,6 +198,8 @@
       const KqSyncPeer *peer = &round->peers[i];
       bool silent = !peer->done && now - peer->asked_at > STRANGER_WAIT &&
                     kq_placement_is_stranger (placement, &peer->peer);
+      if (silent)
+        kq_placement_give_up (placement, &peer->peer, now);
       if (silent || kq_placement_is_gone (placement, &peer->peer))
         round->peers[i] = round->peers[--round->peer_count];
       else
@@ -234,171 +236,6 @@
     kq_sync_start (placement, now);
 }
 
-/* Gives the bucket to @from. A copy of the request that fenced it last changes nothing, so that it
- * cannot undo a later round of this agent's. */
-static void
-fence (KqPlacement *placement, unsigned bucket, const KqPeer *from, uint64_t round, KqTime now)
-{
-  KqBucket *b = &placement->buckets[bucket];
-  bool same = b->fence.id == from->id && b->fence.incarnation == from->incarnation;
-  if (same && round <= b->fence_round)
-    return;
-  b->fence = *from;
-  b->fence_round = round;
-  b->fence_fresh = true;
-  b->reclaim_at = now + RECLAIM_DELAY;
-  b->synced = false;
-  b->in_round = false;
-  b->claimed = false;
-  kq_pending_hand_over (placement, bucket, from, now);
-}
-
-/* The flows with the least hashes above a cursor, in order. */
-typedef struct
-{
-  uint64_t hashes[KQ_MESSAGE_FLOWS_MAX];
-  KqMessageFlow flows[KQ_MESSAGE_FLOWS_MAX];
-  KqPeer owners[KQ_MESSAGE_FLOWS_MAX];
-  unsigned count;
-  bool more;
-} Page;
-
-static void
-page_add (Page *page, uint64_t hash, const KqAddress *caller, const KqPeer *owner)
-{
-  unsigned rank = page->count;
-  while (rank > 0 && hash < page->hashes[rank - 1])
-    rank--;
-  if (page->count == KQ_MESSAGE_FLOWS_MAX)
-    {
-      page->more = true;
-      if (rank == KQ_MESSAGE_FLOWS_MAX)
-        return;
-      page->count--;
-    }
-  for (unsigned i = page->count; i > rank; i--)
-    {
-      page->hashes[i] = page->hashes[i - 1];
-      page->flows[i] = page->flows[i - 1];
-      page->owners[i] = page->owners[i - 1];
-    }
-  page->hashes[rank] = hash;
-  page->flows[rank] = (KqMessageFlow){ .caller = *caller };
-  page->owners[rank] = *owner;
-  page->count++;
-}
-
-static void
-page_fill (const KqPlacement *placement, const KqPlacementMessage *request, Page *page)
-{
-  KqFlowEntry entry;
-  unsigned cursor = 0;
-  while (kq_flow_shard_next (placement->flows, &cursor, 0, &entry))
-    {
-      uint64_t hash = kq_flow_key_hash (&entry.key);
-      if (hash > request->cursor && kq_bucket_set_has (request->buckets, kq_routing_bucket (hash)))
-        page_add (page, hash, &entry.key.caller, &placement->params.self);
-    }
-  const KqPending *pending;
-  TAILQ_FOREACH (pending, &placement->pending, link)
-  {
-    bool chosen = pending->state == KQ_WAIT_PLACED || pending->state == KQ_HANDED_OVER;
-    if (chosen && pending->hash > request->cursor &&
-        kq_bucket_set_has (request->buckets, pending->bucket))
-      page_add (page, pending->hash, &pending->key.caller, &pending->chosen);
-  }
-}
-
-static unsigned
-message_peer (KqPlacementMessage *message, const KqPeer *peer)
-{
-  for (unsigned i = 0; i < message->peer_count; i++)
-    if (message->peers[i].id == peer->id)
-      return i + 1;
-  if (message->peer_count == KQ_MESSAGE_PEERS_MAX)
-    return 0;
-  message->peers[message->peer_count++] = *peer;
-  return message->peer_count;
-}
-
-/* Copies flows into the answer until one's owner finds no room; that one starts the next page. */
-static void
-put_page (const KqPlacement *placement, const Page *page, KqPlacementMessage *answer)
-{
-  for (unsigned i = 0; i < page->count; i++)
-    {
-      KqMessageFlow flow = page->flows[i];
-      bool own = page->owners[i].id == placement->params.self.id;
-      flow.owner = own ? 0 : message_peer (answer, &page->owners[i]);
-      if (!own && flow.owner == 0)
-        {
-          answer->next = page->hashes[i - 1];
-          return;
-        }
-      answer->flows[answer->flow_count++] = flow;
-    }
-  if (page->more)
-    answer->next = page->hashes[page->count - 1];
-}
-
-/* Names those that asked for flows themselves and are not in the view yet. */
-static void
-put_strangers (const KqPlacement *placement, KqPlacementMessage *answer, const KqPeer *from,
-               KqTime now)
-{
-  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
-    {
-      const KqStranger *stranger = &placement->strangers[i];
-      if (now < stranger->until && stranger->peer.id != from->id &&
-          kq_placement_is_stranger (placement, &stranger->peer))
-        message_peer (answer, &stranger->peer);
-    }
-}
-
-/* Names the newest targets to a requester whose view differs; it asks those that it does not know.
- */
-static void
-put_new_targets (const KqPlacement *placement, KqPlacementMessage *answer)
-{
-  while (answer->peer_count < KQ_MESSAGE_PEERS_MAX)
-    {
-      const KqTarget *newest = NULL;
-      for (unsigned i = 0; i < placement->target_count; i++)
-        {
-          const KqTarget *target = &placement->targets[i];
-          bool put = target->peer.id == placement->params.self.id;
-          for (unsigned j = 0; j < answer->peer_count; j++)
-            put = put || answer->peers[j].id == target->peer.id;
-          if (!put && (newest == NULL || target->since > newest->since))
-            newest = target;
-        }
-      if (newest == NULL)
-        return;
-      answer->peers[answer->peer_count++] = newest->peer;
-    }
-}
-
-static void
-answer_request (KqPlacement *placement, const KqPeer *from, const KqPlacementMessage *request,
-                KqTime now)
-{
-  for (unsigned i = 0; i < KQ_BUCKETS; i++)
-    if (kq_bucket_set_has (request->buckets, i))
-      fence (placement, i, from, request->number, now);
-  Page page = { .count = 0 };
-  page_fill (placement, request, &page);
-  KqPlacementMessage answer = { .type = KQ_MESSAGE_SYNC_ANSWER,
-                                .number = request->number,
-                                .cursor = request->cursor,
-                                .digest = placement->digest };
-  if (request->cursor == 0)
-    put_strangers (placement, &answer, from, now);
-  put_page (placement, &page, &answer);
-  if (request->cursor == 0 && request->digest != placement->digest)
-    put_new_targets (placement, &answer);
-  kq_placement_send (placement, from, &answer);
-}
-
 /* An owner's own word replaces what others said of the flow. Two owners of one flow, which only two
  * homes that could not reach each other can make, both keep it; the directory names the last to
  * answer. */
@@ -465,7 +302,7 @@
 {
   kq_placement_meet (placement, from, now);
   if (message->type == KQ_MESSAGE_SYNC_REQUEST)
-    answer_request (placement, from, message, now);
+    kq_sync_answer (placement, from, message, now);
   else
     take_answer (placement, from, message, now);
 }
--- a/src/connection/placement_view.c
+++ b/src/connection/placement_view.c
@@ -40,9 +40,35 @@
   return !kq_placement_is_gone (placement, peer);
 }
 
+static bool
+same_life (const KqPeer *a, const KqPeer *b)
+{
+  return a->id == b->id && a->incarnation == b->incarnation;
+}
+
+bool
+kq_placement_is_silent (const KqPlacement *placement, const KqPeer *peer, KqTime now)
+{
+  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
+    if (same_life (&placement->silent[i].peer, peer) && now < placement->silent[i].until)
+      return kq_placement_is_stranger (placement, peer);
+  return false;
+}
+
+void
+kq_placement_give_up (KqPlacement *placement, const KqPeer *peer, KqTime now)
+{
+  placement->silent[placement->silent_next++ % KQ_STRANGERS_MAX] =
+      (KqStranger){ .peer = *peer, .until = now + STRANGER_LIFE };
+}
+
+/* Notes that @peer sent a sync message, so it runs. */
 void
 kq_placement_meet (KqPlacement *placement, const KqPeer *peer, KqTime now)
 {
+  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
+    if (same_life (&placement->silent[i].peer, peer))
+      placement->silent[i].until = 0;
   if (!kq_placement_is_stranger (placement, peer))
     return;
   KqStranger *oldest = &placement->strangers[0];
--- a/standins/lib/fleet.c
+++ b/standins/lib/fleet.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "event_queue.h"
 #include "fleet.h"
 #include "kumquat/flow_table.h"
 #include "kumquat/random.h"
@@ -29,8 +30,7 @@
 
 typedef struct
 {
-  KqTime time;
-  uint64_t order;
+  KqQueued queued;
   EventType type;
   unsigned node;
   void (*run) (void *data);
@@ -69,10 +69,7 @@
   KqRandom random;
   KqService service;
   KqTime now;
-  uint64_t order;
-  Event **heap;
-  unsigned heap_size;
-  unsigned heap_capacity;
+  KqEventQueue *queue;
   Agent agents[KQ_FLEET_AGENTS_MAX];
   unsigned agent_count;
   KqMember truth[KQ_FLEET_AGENTS_MAX];
@@ -82,47 +79,10 @@
   uint64_t message_bytes;
 };
 
-static bool
-earlier (const Event *a, const Event *b)
-{
-  return a->time != b->time ? a->time < b->time : a->order < b->order;
-}
-
 static void
 push (KqFleet *fleet, Event *event)
 {
-  event->order = fleet->order++;
-  if (fleet->heap_size == fleet->heap_capacity)
-    {
-      fleet->heap_capacity = fleet->heap_capacity == 0 ? 1024 : 2 * fleet->heap_capacity;
-      fleet->heap = talloc_realloc (fleet, fleet->heap, Event *, fleet->heap_capacity);
-    }
-  unsigned i = fleet->heap_size++;
-  for (; i > 0 && earlier (event, fleet->heap[(i - 1) / 2]); i = (i - 1) / 2)
-    fleet->heap[i] = fleet->heap[(i - 1) / 2];
-  fleet->heap[i] = event;
-}
-
-static Event *
-pop (KqFleet *fleet)
-{
-  Event *first = fleet->heap[0];
-  Event *last = fleet->heap[--fleet->heap_size];
-  unsigned i = 0;
-  for (;;)
-    {
-      unsigned child = 2 * i + 1;
-      if (child >= fleet->heap_size)
-        break;
-      if (child + 1 < fleet->heap_size && earlier (fleet->heap[child + 1], fleet->heap[child]))
-        child++;
-      if (!earlier (fleet->heap[child], last))
-        break;
-      fleet->heap[i] = fleet->heap[child];
-      i = child;
-    }
-  fleet->heap[i] = last;
-  return first;
+  kq_event_queue_push (fleet->queue, &event->queued);
 }
 
 static Event *
@@ -130,7 +90,7 @@
 {
   Event *event = talloc_zero_size (fleet, sizeof (Event) + size);
   event->type = type;
-  event->time = time;
+  event->queued.time = time;
   event->node = node;
   event->size = size;
   return event;
@@ -147,14 +107,14 @@
 static void
 transmit (KqFleet *fleet, Event *event)
 {
-  event->time = fleet->now + network_delay (fleet);
+  event->queued.time = fleet->now + network_delay (fleet);
   if (event->type == EVENT_PACKET)
     event->packet.payload = event->bytes;
   if (kq_random_unit (&fleet->random) < fleet->params.duplicate)
     {
       Event *copy = talloc_memdup (fleet, event, sizeof *event + event->size);
       copy->packet.payload = copy->bytes;
-      copy->time = fleet->now + network_delay (fleet);
+      copy->queued.time = fleet->now + network_delay (fleet);
       push (fleet, copy);
     }
   if (kq_random_unit (&fleet->random) < fleet->params.loss)
@@ -382,6 +342,7 @@
 {
   KqFleet *fleet = talloc_zero (parent, KqFleet);
   fleet->params = *params;
+  fleet->queue = kq_event_queue_new (fleet);
   fleet->service.number = SERVICE_NUMBER;
   kq_random_seed (&fleet->random, params->seed);
   for (unsigned i = 0; i < params->balancers; i++)
@@ -565,10 +526,11 @@
   while (fleet->now < until)
     {
       KqTime next = next_tick < until ? next_tick : until;
-      if (fleet->heap_size > 0 && fleet->heap[0]->time <= next)
+      const KqQueued *first = kq_event_queue_first (fleet->queue);
+      if (first != NULL && first->time <= next)
         {
-          Event *event = pop (fleet);
-          fleet->now = event->time > fleet->now ? event->time : fleet->now;
+          Event *event = (Event *)kq_event_queue_pop (fleet->queue);
+          fleet->now = event->queued.time > fleet->now ? event->queued.time : fleet->now;
           take_event (fleet, event);
           talloc_free (event);
           continue;
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -300,9 +300,11 @@
                            .deliver = fleet_deliver,
                            .load = fleet_load,
                            .data = &idle };
-  params.placement = (KqPlacementParams){
-    .flows_max = 2000, .directory_max = 2000, .idle_us = 10 * KQ_SECOND, .admit_load = 800
-  };
+  params.placement = (KqPlacementParams){ .flows_max = 2000,
+                                          .directory_max = 2000,
+                                          .idle_us = 10 * KQ_SECOND,
+                                          .admit_load = 800,
+                                          .ask_max = 6 };
   KqFleet *fleet = kq_fleet_new (NULL, &params);
   for (unsigned i = 0; i < 7; i++)
     kq_fleet_join (fleet, 100);
