--- /dev/null
+++ b/bench/decisions_limits.c
@@ -0,0 +1,340 @@
+/* Limits at one target: shedding by worth and deadline under overload, ramp-up after a cold start,
+ * a target that sheds, and a target that freezes. Targets are those of issue 4, items 2 and 7. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <talloc.h>
+
+#include "model_world.h"
+
+#define SEEDS        3
+#define SLOTS        5
+#define LENGTH_US    (60 * KQ_SECOND)
+#define DEADLINE_US  (500 * KQ_MS)
+#define COLD_FACTOR  4
+#define COLD_US      (16 * KQ_SECOND)
+#define OVERLOAD     1.3
+#define WORTH_TARGET 0.97 /* of the worth that full knowledge gets */
+
+typedef struct
+{
+  const char *name;
+  double share;
+  double worth;
+  KqTime service_us;
+  uint8_t method;
+} ClassSpec;
+
+static const ClassSpec classes[] = {
+  { "mark", 0.3, 10, 60 * KQ_MS, KQ_COAP_POST },
+  { "board", 0.4, 1, 20 * KQ_MS, KQ_COAP_GET },
+  { "photo", 0.3, 1, 50 * KQ_MS, KQ_COAP_GET },
+};
+#define CLASSES (sizeof classes / sizeof classes[0])
+
+/* What one row of a table sums up. */
+typedef struct
+{
+  unsigned ops;
+  unsigned outcomes[KQ_MODEL_TIMED_OUT + 1];
+  double worth;
+  KqTime *latencies;
+  unsigned answered;
+  uint64_t refused_by_target;
+} Result;
+
+static const ClassSpec *
+class_of (const KqModelOp *op)
+{
+  for (unsigned i = 0; i + 1 < CLASSES; i++)
+    if (op->class_name == classes[i].name)
+      return &classes[i];
+  return &classes[CLASSES - 1];
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  KqTime x = *(const KqTime *)a;
+  KqTime y = *(const KqTime *)b;
+  return (x > y) - (x < y);
+}
+
+static double
+percentile_ms (Result *result, double share)
+{
+  if (result->answered == 0)
+    return 0;
+  qsort (result->latencies, result->answered, sizeof (KqTime), compare_times);
+  return (double)result->latencies[(unsigned)(share * (result->answered - 1))] / KQ_MS;
+}
+
+static void
+collect (Result *result, const KqModelWorld *world)
+{
+  unsigned count = kq_model_op_count (world);
+  result->latencies = realloc (result->latencies, (result->ops + count) * sizeof (KqTime));
+  for (unsigned i = 0; i < count; i++)
+    {
+      const KqModelOp *op = kq_model_op (world, i);
+      result->outcomes[op->outcome]++;
+      if (op->outcome != KQ_MODEL_ANSWERED)
+        continue;
+      result->worth += class_of (op)->worth;
+      result->latencies[result->answered++] = op->ended - op->started;
+    }
+  result->ops += count;
+  result->refused_by_target += kq_model_stats (world, 0).refused_by_target;
+}
+
+static KqModelParams
+base_params (uint64_t seed, unsigned disable, unsigned queue_max)
+{
+  KqModelParams params = { .seed = seed,
+                           .agents = 1,
+                           .delay_us = 3 * KQ_MS,
+                           .workers = SLOTS,
+                           .guard = { .slots = SLOTS,
+                                      .queue_max = queue_max,
+                                      .deadline_us = DEADLINE_US,
+                                      .kept_answers_max = 100000,
+                                      .kept_answer_us = 247 * KQ_SECOND,
+                                      .kept_bytes_max = (size_t)64 << 20,
+                                      .echo_us = 30 * KQ_SECOND,
+                                      .ramp_us = KQ_MS,
+                                      .disable = disable,
+                                      .class_count = CLASSES } };
+  for (unsigned i = 0; i < CLASSES; i++)
+    {
+      snprintf (params.guard.classes[i].name, KQ_NAME_BYTES, "%s", classes[i].name);
+      params.guard.classes[i].worth = (uint32_t)classes[i].worth;
+    }
+  return params;
+}
+
+/* Mean slot time of a request, in seconds. */
+static double
+mean_service_s (void)
+{
+  double sum = 0;
+  for (unsigned i = 0; i < CLASSES; i++)
+    sum += classes[i].share * (double)classes[i].service_us / KQ_SECOND;
+  return sum;
+}
+
+/* A cold target is slow at first and ever less so. */
+static double
+cold_factor (KqTime at)
+{
+  return at >= COLD_US ? 1 : COLD_FACTOR - (COLD_FACTOR - 1) * (double)at / COLD_US;
+}
+
+/* Offers requests with random gaps at a rate that is @load times what the slots can do. */
+static void
+offer (KqModelWorld *world, double load, KqTime length_us, bool cold)
+{
+  KqRandom *random = kq_model_random (world);
+  double gap_us = mean_service_s () / SLOTS / load * KQ_SECOND;
+  double at = 0;
+  for (unsigned i = 0;; i++)
+    {
+      at += 2 * gap_us * kq_random_unit (random);
+      if (at > (double)length_us)
+        return;
+      double lot = kq_random_unit (random);
+      unsigned class = lot < classes[0].share                      ? 0
+                       : lot < classes[0].share + classes[1].share ? 1
+                                                                   : 2;
+      double size = 0.5 + kq_random_unit (random);
+      if (cold)
+        size *= cold_factor ((KqTime)at);
+      KqModelOp op = { .method = classes[class].method,
+                       .class_name = classes[class].name,
+                       .service_us = (KqTime)(size * (double)classes[class].service_us),
+                       .deadline_us = DEADLINE_US,
+                       .flow = i % 60000 };
+      kq_model_request (world, (KqTime)at, &op);
+    }
+}
+
+/* A request as a scheduler with full knowledge sees it. */
+typedef struct
+{
+  double worth;
+  double service_us;
+} Known;
+
+static int
+compare_density (const void *a, const void *b)
+{
+  const Known *x = a;
+  const Known *y = b;
+  double dx = x->worth / x->service_us;
+  double dy = y->worth / y->service_us;
+  return (dx < dy) - (dx > dy);
+}
+
+/* Worth of those requests that fit into the slots: the greedy solution of the fractional knapsack,
+ * which no scheduler exceeds. */
+static double
+full_knowledge (const KqModelWorld *world, KqTime length_us)
+{
+  unsigned count = kq_model_op_count (world);
+  double room_us = (double)SLOTS * (double)length_us;
+  double worth = 0;
+  Known *known = talloc_array (world, Known, count);
+  for (unsigned i = 0; i < count; i++)
+    {
+      const KqModelOp *op = kq_model_op (world, i);
+      known[i] = (Known){ class_of (op)->worth, (double)op->service_us };
+    }
+  qsort (known, count, sizeof *known, compare_density);
+  for (unsigned i = 0; i < count && room_us > 0; i++)
+    {
+      room_us -= known[i].service_us;
+      worth += known[i].worth;
+    }
+  talloc_free (known);
+  return worth;
+}
+
+static void
+table_overload (double load)
+{
+  static const struct
+  {
+    const char *name;
+    unsigned disable;
+    unsigned queue_max;
+  } rows[] = {
+    { "guard", 0, 20 },
+    { "baseline: no worth", KQ_DISABLE_WORTH, 20 },
+    { "baseline: FIFO, 20 places", KQ_DISABLE_DEADLINE_QUEUE | KQ_DISABLE_WORTH, 20 },
+    { "baseline: FIFO, 1000 places", KQ_DISABLE_DEADLINE_QUEUE | KQ_DISABLE_WORTH, 1000 },
+  };
+  printf ("\nload %.2f of one target's slots for 60 s; marks worth 10 take 60 ms, boards worth 1\n"
+          "20 ms, photos worth 1 50 ms, each times 0.5 to 1.5; deadline 500 ms; sums of %d seeds;\n"
+          "target: worth answered in time at least %.2f of full knowledge\n\n",
+          load, SEEDS, WORTH_TARGET);
+  printf ("%-28s %7s %9s %9s %9s %9s %8s\n", "", "worth", "answered", "not run", "unknown",
+          "timed out", "p99 ms");
+  for (unsigned i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      Result result = { 0 };
+      double best = 0;
+      for (uint64_t seed = 1; seed <= SEEDS; seed++)
+        {
+          KqModelParams params = base_params (seed, rows[i].disable, rows[i].queue_max);
+          KqModelWorld *world = kq_model_new (NULL, &params);
+          offer (world, load, LENGTH_US, false);
+          kq_model_run (world, LENGTH_US + KQ_SECOND);
+          collect (&result, world);
+          best += full_knowledge (world, LENGTH_US);
+          talloc_free (world);
+        }
+      printf ("%-28s %7.3f %9u %9u %9u %9u %8.0f  %s\n", rows[i].name, result.worth / best,
+              result.outcomes[KQ_MODEL_ANSWERED], result.outcomes[KQ_MODEL_NOT_RUN],
+              result.outcomes[KQ_MODEL_UNKNOWN], result.outcomes[KQ_MODEL_TIMED_OUT],
+              percentile_ms (&result, 0.99),
+              result.worth >= WORTH_TARGET * best ? "met" : "MISSED");
+      free (result.latencies);
+    }
+}
+
+static void
+warm_up (KqModelWorld *world, void *data)
+{
+  kq_model_set_workers (world, 0, *(const unsigned *)data);
+}
+
+static void
+freeze (KqModelWorld *world, void *data)
+{
+  (void)data;
+  kq_model_freeze_target (world, 0, 10 * KQ_SECOND);
+}
+
+/* The cases of a target that can do less than its slots say. */
+typedef enum
+{
+  CASE_COLD,
+  CASE_SLOW,
+  CASE_SHEDS,
+  CASE_FREEZES
+} TargetCase;
+
+static Result
+run_case (TargetCase target, unsigned disable, KqTime ramp_us)
+{
+  static unsigned workers[] = { 1, 2, 3, 4, 5 };
+  Result result = { 0 };
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      KqModelParams params = base_params (seed, disable, 20);
+      params.guard.ramp_us = ramp_us;
+      if (target == CASE_COLD || target == CASE_SLOW)
+        params.workers = 1;
+      if (target == CASE_SHEDS)
+        {
+          params.workers = 2;
+          params.shed_above = 2;
+        }
+      KqModelWorld *world = kq_model_new (NULL, &params);
+      for (unsigned i = 1; target <= CASE_SLOW && i < SLOTS; i++)
+        kq_model_at (world, (KqTime)i * 4 * KQ_SECOND, warm_up, &workers[i]);
+      if (target == CASE_FREEZES)
+        kq_model_at (world, 5 * KQ_SECOND, freeze, NULL);
+      offer (world, 0.85, 20 * KQ_SECOND, target == CASE_SLOW);
+      kq_model_run (world, 22 * KQ_SECOND);
+      collect (&result, world);
+      talloc_free (world);
+    }
+  return result;
+}
+
+static void
+table_targets (void)
+{
+  static const struct
+  {
+    const char *name;
+    TargetCase target;
+    unsigned disable;
+    KqTime ramp_us;
+  } rows[] = {
+    { "cold start, ramp of 20 s", CASE_COLD, 0, 20 * KQ_SECOND },
+    { "cold start, ramp of 5 s", CASE_COLD, 0, 5 * KQ_SECOND },
+    { "baseline: no ramp", CASE_COLD, 0, KQ_MS },
+    { "cold and slow, ramp of 20 s", CASE_SLOW, 0, 20 * KQ_SECOND },
+    { "cold and slow, ramp of 5 s", CASE_SLOW, 0, 5 * KQ_SECOND },
+    { "baseline: no ramp", CASE_SLOW, 0, KQ_MS },
+    { "sheds above 2, believed", CASE_SHEDS, 0, 5 * KQ_SECOND },
+    { "baseline: not believed", CASE_SHEDS, KQ_DISABLE_SHED, 5 * KQ_SECOND },
+    { "freezes 10 s, slots held", CASE_FREEZES, 0, KQ_MS },
+    { "baseline: slots freed", CASE_FREEZES, KQ_DISABLE_STUCK_SLOTS, KQ_MS },
+  };
+  printf (
+      "\na target that can do less than its %d slots: cold (1 worker, one more every 4 s), cold\n"
+      "and slow (also %d times the service time, less until %d s), shedding, or frozen for 10 of\n"
+      "20 s; load 0.85 of the slots; sums of %d seeds. Unknown and timed out are the harm.\n\n",
+      SLOTS, COLD_FACTOR, (int)(COLD_US / KQ_SECOND), SEEDS);
+  printf ("%-28s %8s %9s %9s %9s %9s %10s %7s\n", "", "worth", "answered", "not run", "unknown",
+          "timed out", "by target", "p99 ms");
+  for (unsigned i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      Result result = run_case (rows[i].target, rows[i].disable, rows[i].ramp_us);
+      printf ("%-28s %8.0f %9u %9u %9u %9u %10llu %7.0f\n", rows[i].name, result.worth,
+              result.outcomes[KQ_MODEL_ANSWERED], result.outcomes[KQ_MODEL_NOT_RUN],
+              result.outcomes[KQ_MODEL_UNKNOWN], result.outcomes[KQ_MODEL_TIMED_OUT],
+              (unsigned long long)result.refused_by_target, percentile_ms (&result, 0.99));
+      free (result.latencies);
+    }
+}
+
+int
+main (void)
+{
+  table_overload (0.85);
+  table_overload (OVERLOAD);
+  table_targets ();
+  return 0;
+}
--- a/include/kumquat/internal/request_cost.h
+++ b/include/kumquat/internal/request_cost.h
@@ -7,6 +7,7 @@
  * struct KqRequestCosts - moving averages of service times
  * @worth: (array): of each class; the last one stands for all unnamed classes
  * @service_us: (array): moving average
+ * @deviation_us: (array): moving average of the distance from it
  * @names: (array) names of the classes
  * @count: classes with the unnamed one
  */
@@ -14,6 +15,7 @@
 {
   double worth[KQ_REQUEST_CLASSES_MAX + 1];
   double service_us[KQ_REQUEST_CLASSES_MAX + 1];
+  double deviation_us[KQ_REQUEST_CLASSES_MAX + 1];
   char names[KQ_REQUEST_CLASSES_MAX][KQ_NAME_BYTES];
   unsigned count;
 } KqRequestCosts;
@@ -32,3 +34,6 @@
 
 /** kq_request_costs_density - Return: worth for each microsecond in a slot */
 double kq_request_costs_density (const KqRequestCosts *costs, unsigned class_index);
+
+/** kq_request_costs_needed_us - Return: time in which nearly all requests of a class are answered */
+KqTime kq_request_costs_needed_us (const KqRequestCosts *costs, unsigned class_index);
--- a/src/request/request_cost.c
+++ b/src/request/request_cost.c
@@ -1,10 +1,13 @@
+#include <math.h>
 #include <string.h>
 
 #include "kumquat/internal/request_cost.h"
 
 #define INITIAL_SERVICE_US 20000.0 /* before the first sample of a class */
 #define MIN_SERVICE_US     1.0
-#define SAMPLE_WEIGHT      0.05 /* of a new sample in the moving average */
+#define SAMPLE_WEIGHT      0.05 /* of a new sample in the moving averages */
+#define DEVIATIONS         2.0  /* above the average, within which nearly all requests end */
+#define RETURN_US          (10 * KQ_MS) /* kept back for the way to the caller and back */
 
 static unsigned
 named_classes (const KqRequestGuardParams *params)
@@ -38,11 +41,16 @@
   bool flat = (params->disable & KQ_DISABLE_WORTH) != 0;
   unsigned named = named_classes (params);
   for (unsigned i = 0; i <= KQ_REQUEST_CLASSES_MAX; i++)
-    costs->service_us[i] = old.service_us[old.count - 1];
+    {
+      costs->service_us[i] = old.service_us[old.count - 1];
+      costs->deviation_us[i] = old.deviation_us[old.count - 1];
+    }
   for (unsigned i = 0; i < named; i++)
     {
       set_class (costs, i, &params->classes[i]);
-      costs->service_us[i] = old.service_us[kq_request_costs_class (&old, costs->names[i])];
+      unsigned earlier = kq_request_costs_class (&old, costs->names[i]);
+      costs->service_us[i] = old.service_us[earlier];
+      costs->deviation_us[i] = old.deviation_us[earlier];
     }
   costs->worth[named] = params->default_worth > 0 ? params->default_worth : 1;
   costs->count = named + 1;
@@ -63,6 +71,8 @@
 kq_request_costs_sample (KqRequestCosts *costs, unsigned class_index, KqTime service_us)
 {
   double *average = &costs->service_us[class_index];
+  double *deviation = &costs->deviation_us[class_index];
+  *deviation += SAMPLE_WEIGHT * (fabs ((double)service_us - *average) - *deviation);
   *average += SAMPLE_WEIGHT * ((double)service_us - *average);
   if (*average < MIN_SERVICE_US)
     *average = MIN_SERVICE_US;
@@ -73,3 +83,10 @@
 {
   return costs->worth[class_index] / costs->service_us[class_index];
 }
+
+KqTime
+kq_request_costs_needed_us (const KqRequestCosts *costs, unsigned class_index)
+{
+  double service_us = costs->service_us[class_index];
+  return (KqTime)(service_us + DEVIATIONS * costs->deviation_us[class_index]) + RETURN_US;
+}
--- a/src/request/request_queue.c
+++ b/src/request/request_queue.c
@@ -51,7 +51,8 @@
     else if (*victim == NULL || goes_before (costs, *victim, other))
       *victim = (KqExchange *)other;
   }
-  if (now + ahead_us / slots + expected_us (costs, exchange) > exchange->deadline)
+  KqTime needed_us = kq_request_costs_needed_us (costs, exchange->class_index);
+  if (now + ahead_us / slots + needed_us > exchange->deadline)
     return false;
   if (queue->count < queue->max)
     *victim = NULL;
@@ -91,7 +92,9 @@
   KqExchange *exchange;
   TAILQ_FOREACH (exchange, &queue->list, entry)
   {
-    KqTime needed_us = queue->first_in_first_out ? 0 : expected_us (costs, exchange);
+    KqTime needed_us = 0;
+    if (!queue->first_in_first_out)
+      needed_us = kq_request_costs_needed_us (costs, exchange->class_index);
     if (now + needed_us > exchange->deadline)
       return exchange;
   }
