A full queue takes a place from the flow that holds the most

One caller that sends many requests of the same class filled the queue, so the others were refused as often as it was. A full queue now lets the flow with at least two more places than the newcomer's lose its last request, unless that is worth more for its cost. Ruled out: a limit for each flow, since a caller alone may use the whole target.

--- a/bench/decisions_limits.c
+++ b/bench/decisions_limits.c
@@ -12,6 +12,9 @@
 #define DEADLINE_US  (500 * KQ_MS)
 #define COLD_FACTOR  4
 #define COLD_US      (16 * KQ_SECOND)
+#define FLOOD_LOAD   2.0
+#define POLITE_SHARE 0.25
+#define POLITE_FLOWS 10
 #define OVERLOAD     1.3
 #define WORTH_TARGET 0.97 /* of the worth that full knowledge gets */
 
@@ -330,11 +333,70 @@
     }
 }
 
+/* Flow 0 offers far more than the slots can do, the others together a third of it. */
+static void
+offer_flood (KqModelWorld *world)
+{
+  KqRandom *random = kq_model_random (world);
+  double gap_us = (double)classes[1].service_us / SLOTS / FLOOD_LOAD;
+  double at = 0;
+  while (at < 20 * KQ_SECOND)
+    {
+      at += 2 * gap_us * kq_random_unit (random);
+      bool polite = kq_random_unit (random) < POLITE_SHARE;
+      KqModelOp op = { .method = KQ_COAP_GET,
+                       .class_name = classes[1].name,
+                       .service_us = classes[1].service_us,
+                       .deadline_us = DEADLINE_US,
+                       .flow = polite ? 1 + (unsigned)kq_random_below (random, POLITE_FLOWS) : 0 };
+      kq_model_request (world, (KqTime)at, &op);
+    }
+}
+
+static void
+table_flood (void)
+{
+  static const struct
+  {
+    const char *name;
+    unsigned disable;
+  } rows[] = {
+    { "guard", 0 },
+    { "baseline: FIFO, 20 places", KQ_DISABLE_DEADLINE_QUEUE | KQ_DISABLE_WORTH },
+  };
+  printf (
+      "\none flow offers %.2f times the slots, %d others together %.2f times; share answered\n\n",
+      FLOOD_LOAD * (1 - POLITE_SHARE), POLITE_FLOWS, FLOOD_LOAD * POLITE_SHARE);
+  printf ("%-28s %8s %9s\n", "", "others", "the flow");
+  for (unsigned i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      unsigned offered[2] = { 0 };
+      unsigned answered[2] = { 0 };
+      for (uint64_t seed = 1; seed <= SEEDS; seed++)
+        {
+          KqModelParams params = base_params (seed, rows[i].disable, 20);
+          KqModelWorld *world = kq_model_new (NULL, &params);
+          offer_flood (world);
+          kq_model_run (world, 21 * KQ_SECOND);
+          for (unsigned k = 0; k < kq_model_op_count (world); k++)
+            {
+              const KqModelOp *op = kq_model_op (world, k);
+              offered[op->flow == 0]++;
+              answered[op->flow == 0] += op->outcome == KQ_MODEL_ANSWERED;
+            }
+          talloc_free (world);
+        }
+      printf ("%-28s %7.1f%% %8.1f%%\n", rows[i].name, 100.0 * answered[0] / offered[0],
+              100.0 * answered[1] / offered[1]);
+    }
+}
+
 int
 main (void)
 {
   table_overload (0.85);
   table_overload (OVERLOAD);
   table_targets ();
+  table_flood ();
   return 0;
 }
--- a/include/kumquat/internal/request_cost.h
+++ b/include/kumquat/internal/request_cost.h
@@ -35,5 +35,6 @@
 /** kq_request_costs_density - Return: worth for each microsecond in a slot */
 double kq_request_costs_density (const KqRequestCosts *costs, unsigned class_index);
 
-/** kq_request_costs_needed_us - Return: time in which nearly all requests of a class are answered */
+/** kq_request_costs_needed_us - Return: time in which nearly all requests of a class are answered
+ */
 KqTime kq_request_costs_needed_us (const KqRequestCosts *costs, unsigned class_index);
--- a/include/kumquat/internal/request_queue.h
+++ b/include/kumquat/internal/request_queue.h
@@ -27,8 +27,9 @@
  * @slots: usable slots, at least 1
  * @victim: (out) (nullable): a waiting request of less worth that must leave first
  *
- * A request is not admitted when those that go before it leave no time until its deadline, or when
- * the queue is full and nothing in it has less worth for its cost.
+ * A request is not admitted when those that go before it leave no time until its deadline. When the
+ * queue is full, one of less worth for its cost leaves, else one of a flow that has more places,
+ * else one with a later deadline; without any of these the request is not admitted.
  *
  * Return: whether it may wait, after @victim was removed.
  */
--- a/src/request/guard_exchange.c
+++ b/src/request/guard_exchange.c
@@ -162,7 +162,7 @@
 bool
 kq_guard_would_admit (const KqRequestGuard *guard, const KqArrival *arrival)
 {
-  KqExchange probe = { 0 };
+  KqExchange probe = { .key = *arrival->key };
   KqExchange *victim;
   set_limits (guard, arrival, &probe);
   if (probe.deadline <= arrival->now)
--- a/src/request/request_queue.c
+++ b/src/request/request_queue.c
@@ -34,12 +34,56 @@
   return (KqTime)costs->service_us[exchange->class_index];
 }
 
+static unsigned
+count_flow (const KqRequestQueue *queue, const KqFlowKey *key)
+{
+  const KqExchange *other;
+  unsigned count = 0;
+  TAILQ_FOREACH (other, &queue->list, entry)
+  count += kq_flow_key_equal (&other->key, key);
+  return count;
+}
+
+/* The last request of a flow that has at least two more places than the flow of @exchange, if what
+ * leaves has no more worth for its cost: one caller cannot fill the queue against the others. */
+static KqExchange *
+find_crowding (const KqRequestQueue *queue, const KqRequestCosts *costs, const KqExchange *exchange)
+{
+  double density = kq_request_costs_density (costs, exchange->class_index);
+  unsigned least = count_flow (queue, &exchange->key) + 2;
+  KqExchange *found = NULL;
+  KqExchange *other;
+  TAILQ_FOREACH (other, &queue->list, entry)
+  {
+    unsigned count = count_flow (queue, &other->key);
+    if (kq_request_costs_density (costs, other->class_index) > density || count < least)
+      continue;
+    found = other;
+    least = count;
+  }
+  return found;
+}
+
+/* Who leaves a full queue for @exchange, or NULL when nobody does. @last is the last of the order
+ * behind @exchange, or NULL. */
+static KqExchange *
+choose_victim (const KqRequestQueue *queue, const KqRequestCosts *costs, const KqExchange *exchange,
+               KqExchange *last)
+{
+  if (last != NULL && kq_request_costs_density (costs, last->class_index) <
+                          kq_request_costs_density (costs, exchange->class_index))
+    return last;
+  KqExchange *crowding = find_crowding (queue, costs, exchange);
+  return crowding != NULL ? crowding : last;
+}
+
 bool
 kq_request_queue_admits (const KqRequestQueue *queue, const KqRequestCosts *costs,
                          const KqExchange *exchange, unsigned slots, KqTime now,
                          KqExchange **victim)
 {
-  const KqExchange *other;
+  KqExchange *other;
+  KqExchange *last = NULL;
   KqTime ahead_us = 0;
   *victim = NULL;
   if (queue->first_in_first_out)
@@ -48,15 +92,16 @@
   {
     if (!goes_before (costs, exchange, other))
       ahead_us += expected_us (costs, other);
-    else if (*victim == NULL || goes_before (costs, *victim, other))
-      *victim = (KqExchange *)other;
+    else if (last == NULL || goes_before (costs, last, other))
+      last = other;
   }
   KqTime needed_us = kq_request_costs_needed_us (costs, exchange->class_index);
   if (now + ahead_us / slots + needed_us > exchange->deadline)
     return false;
   if (queue->count < queue->max)
-    *victim = NULL;
-  return queue->count < queue->max || *victim != NULL;
+    return true;
+  *victim = choose_victim (queue, costs, exchange, last);
+  return *victim != NULL;
 }
 
 void
--- a/tests/unit/test_request_limits.c
+++ b/tests/unit/test_request_limits.c
@@ -70,6 +70,46 @@
   talloc_free (fixture.guard);
 }
 
+static void
+test_one_flow_does_not_fill_the_queue (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  add_class (&params, "mark", 10);
+  params.queue_max = 4;
+  setup (&fixture, &params);
+  for (uint8_t i = 1; i <= 6; i++)
+    send_get (&fixture, i, "");
+  fixture.flow.caller.port++;
+  for (uint8_t i = 1; i <= 2; i++)
+    {
+      send_get (&fixture, i, "");
+      expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
+      CU_ASSERT (fixture.caller.keys[fixture.caller.count - 1].caller.port == 4000);
+    }
+  send_get (&fixture, 3, ""); /* two places each: nobody leaves */
+  CU_ASSERT (fixture.caller.keys[fixture.caller.count - 1].caller.port == 4001);
+  CU_ASSERT (stats_of (&fixture).refused_not_run == 3);
+  talloc_free (fixture.guard);
+}
+
+static void
+test_crowding_flow_keeps_what_is_worth_more (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  add_class (&params, "mark", 10);
+  params.queue_max = 4;
+  setup (&fixture, &params);
+  for (uint8_t i = 1; i <= 6; i++)
+    send_get (&fixture, i, "class=mark");
+  fixture.flow.caller.port++;
+  send_get (&fixture, 1, "");
+  expect_last (&fixture, KQ_COAP_SERVICE_UNAVAILABLE, "");
+  CU_ASSERT (fixture.caller.keys[fixture.caller.count - 1].caller.port == 4001);
+  talloc_free (fixture.guard);
+}
+
 static void
 test_deadline_decides_in_the_queue (void)
 {
@@ -315,6 +355,8 @@
   static const KqUnitTest tests[] = {
     { "slots and queue are bounded", test_slots_and_queue_are_bounded },
     { "more worth pushes out less", test_more_worth_pushes_out_less },
+    { "one flow does not fill the queue", test_one_flow_does_not_fill_the_queue },
+    { "a crowding flow keeps more worth", test_crowding_flow_keeps_what_is_worth_more },
     { "the deadline decides in the queue", test_deadline_decides_in_the_queue },
     { "wake-up after a freeze", test_wake_up_after_a_freeze },
     { "a cold start ramps up", test_cold_start_ramps_up },
