kumquatctl, and the operators' interface in the balancer

Cause: operators need one command for plan, confirm, watch, status, services and report, with exit statuses that scripts can act on and errors that name the remedy. The command keeps no state: a plan file is the server's answer, and a confirm sends it back whole. Keeping plans in the balancer was ruled out, because a balancer dies with what it holds. The balancer's small handler for metrics and health gave way to the operators' interface, which serves the same paths without a key.

--- a/include/kumquat/balancer.h
+++ b/include/kumquat/balancer.h
@@ -25,6 +25,7 @@
  * @store_timeout_us: limit of one call to the store
  * @http: where operators and metrics are served
  * @operator_key: what operators must present
+ * @operator_key_old: accepted as well while the key is replaced; empty accepts nothing
  * @linger_us: how long it forwards after a shutdown was asked for
  */
 typedef struct
@@ -41,6 +42,7 @@
   KqTime store_timeout_us;
   KqAddress http;
   char operator_key[128];
+  char operator_key_old[128];
   KqTime linger_us;
 } KqBalancerParams;
 
--- a/include/kumquat/internal/balancer_impl.h
+++ b/include/kumquat/internal/balancer_impl.h
@@ -6,9 +6,9 @@
 
 #include "kumquat/balancer.h"
 #include "kumquat/flow_table.h"
-#include "kumquat/http_server.h"
 #include "kumquat/internal/routes.h"
 #include "kumquat/metrics.h"
+#include "kumquat/operator_api.h"
 #include "kumquat/store.h"
 
 /**
@@ -65,7 +65,7 @@
   KqServiceCatalog *catalog;
   KqStore *store;
   KqMetrics *metrics;
-  KqHttpServer *http;
+  KqOperatorApi *operators;
   bool watching;
   bool configured;
   bool shutting_down;
--- /dev/null
+++ b/include/kumquat/internal/ctl_impl.h
@@ -0,0 +1,67 @@
+/* Parts of the operators' command, shared by the files ctl*.c. */
+#pragma once
+
+#include <jansson.h>
+#include <stdio.h>
+
+#include "kumquat/types.h"
+
+/**
+ * struct KqCtl - one run of the command
+ * @server: (nullable): address of a balancer's operators' interface
+ * @key_file: (nullable): file with the operator key
+ * @plan_file: (nullable): where plan writes the plan
+ * @toml_file: (nullable): the wished-for whole
+ * @html_file: (nullable): where report writes its page
+ * @json: print the server's JSON
+ * @timeout_s: how long watch follows
+ * @arguments: (array): command and its arguments, then NULL
+ * @count: length of @arguments
+ */
+typedef struct
+{
+  char *server;
+  char *key_file;
+  char *plan_file;
+  char *toml_file;
+  char *html_file;
+  int json;
+  int timeout_s;
+  const char **arguments;
+  unsigned count;
+} KqCtl;
+
+/**
+ * kq_ctl_ask - sends one request and waits for its answer; errors are printed
+ * @body: (nullable): JSON to send
+ * @status: (out): HTTP status, 0 when there was no answer
+ *
+ * Return: (owned by the caller) the answer's JSON, or NULL with nothing to show for it.
+ */
+json_t *kq_ctl_ask (const KqCtl *ctl, const char *method, const char *path, const char *body,
+                    unsigned *status);
+
+/** kq_ctl_status - prints the error of a failed answer; Return: the exit status for it */
+int kq_ctl_status (unsigned status, const json_t *answer);
+
+/** kq_ctl_request - Return: (owned by the caller) the body that asks for a plan, or NULL; errors
+ * are printed */
+char *kq_ctl_request (const KqCtl *ctl);
+
+/** kq_ctl_settings - sets KEY=VALUE, with dots for tables, in @object; Return: 0 or -1 */
+int kq_ctl_setting (json_t *object, const char *key, json_t *value);
+
+/* Text for people; the JSON is the server's answer. */
+void kq_ctl_print_plan (FILE *out, const json_t *plan);
+void kq_ctl_print_status (FILE *out, const json_t *status);
+void kq_ctl_print_services (FILE *out, const json_t *services);
+void kq_ctl_print_report (FILE *out, const json_t *report);
+
+/** kq_ctl_write_page - writes the report as one HTML file with its plots inside */
+void kq_ctl_write_page (FILE *out, const json_t *report);
+
+/** kq_ctl_text - Return: (borrowed) a text member, or "" */
+const char *kq_ctl_text (const json_t *object, const char *key);
+
+/** kq_ctl_number - Return: a number member, or 0 */
+double kq_ctl_number (const json_t *object, const char *key);
--- /dev/null
+++ b/programs/kumquatctl.c
@@ -0,0 +1,7 @@
+#include "kumquat/ctl.h"
+
+int
+main (int argc, const char **argv)
+{
+  return kq_ctl_main (argc, argv);
+}
--- a/src/process/balancer_http.c
+++ b/src/process/balancer_http.c
@@ -1,10 +1,7 @@
-#include <string.h>
 #include <talloc.h>
 
 #include "kumquat/internal/balancer_impl.h"
 
-#define TEXT_TYPE "text/plain; version=0.0.4"
-
 static void
 set_counter (KqBalancer *balancer, const char *name, const char *help, uint64_t value)
 {
@@ -65,57 +62,62 @@
                stats.expired);
 }
 
-static void
-respond_metrics (KqBalancer *balancer, KqHttpRequest *request)
+static char *
+format_metrics (const void *parent, void *data)
 {
-  void *scratch = talloc_new (balancer);
+  KqBalancer *balancer = data;
   set_forwarder (balancer);
   set_flows (balancer);
   set_gauge (balancer, "kumquat_store_reachable", "1 when the store's last call was answered.",
              kq_store_reachable (balancer->store));
-  char *body = kq_metrics_format (scratch, balancer->metrics);
-  body = talloc_strdup_append (body, kq_control_metrics (scratch, balancer->control));
-  kq_http_respond (request, 200, TEXT_TYPE, body, strlen (body));
-  talloc_free (scratch);
+  char *text = kq_metrics_format (parent, balancer->metrics);
+  char *control = kq_control_metrics (parent, balancer->control);
+  text = talloc_strdup_append (text, control);
+  talloc_free (control);
+  return text;
 }
 
-static void
-respond_ready (KqBalancer *balancer, KqHttpRequest *request)
+static const char *
+not_ready (void *data)
 {
+  const KqBalancer *balancer = data;
   if (balancer->shutting_down)
-    kq_http_respond (request, 503, "text/plain", "leaving\n", 8);
-  else if (kq_service_catalog_count (balancer->catalog) == 0)
-    kq_http_respond (request, 503, "text/plain", "no configuration yet\n", 21);
-  else
-    kq_http_respond (request, 200, "text/plain", "ready\n", 6);
+    return "leaving";
+  return kq_service_catalog_count (balancer->catalog) == 0 ? "no configuration yet" : NULL;
 }
 
-static void
-handle (KqHttpRequest *request, const char *method, const char *path, const char *body, size_t size,
-        void *data)
+static const KqMember *
+members (unsigned *count, void *data)
 {
-  KqBalancer *balancer = data;
-  (void)body;
-  (void)size;
-  if (strcmp (method, "GET") != 0)
-    kq_http_respond (request, 405, "text/plain", "use GET\n", 8);
-  else if (strcmp (path, "/metrics") == 0)
-    respond_metrics (balancer, request);
-  else if (strcmp (path, "/healthz") == 0)
-    kq_http_respond (request, 200, "text/plain", "alive\n", 6);
-  else if (strcmp (path, "/readyz") == 0)
-    respond_ready (balancer, request);
-  else
-    kq_http_respond (request, 404, "text/plain", "unknown path; see /metrics\n", 27);
+  const KqBalancer *balancer = data;
+  return kq_control_members (balancer->control, count);
+}
+
+static int
+in_force (uint32_t service, KqInForce *out, void *data)
+{
+  const KqBalancer *balancer = data;
+  return kq_control_in_force (balancer->control, service, out);
 }
 
 int
 kq_balancer_http_open (KqBalancer *balancer, KqError *error)
 {
+  static const KqOperatorOps ops = { .members = members,
+                                     .in_force = in_force,
+                                     .format_metrics = format_metrics,
+                                     .not_ready = not_ready };
+  const KqBalancerParams *params = &balancer->params;
   balancer->metrics = kq_metrics_new (balancer);
   if (balancer->metrics == NULL)
     return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory; raise the memory limit");
-  balancer->http =
-      kq_http_server_new (balancer, balancer->ev, &balancer->params.http, handle, balancer, error);
-  return balancer->http == NULL ? -1 : 0;
+  KqOperatorParams operators = { .listen = params->http,
+                                 .keys = { params->operator_key, params->operator_key_old },
+                                 .key_count = 2,
+                                 .store = balancer->store,
+                                 .catalog = balancer->catalog,
+                                 .metrics = balancer->metrics };
+  balancer->operators =
+      kq_operator_api_new (balancer, balancer->ev, &operators, &ops, balancer, error);
+  return balancer->operators == NULL ? -1 : 0;
 }
--- a/src/process/balancer_settings.c
+++ b/src/process/balancer_settings.c
@@ -28,6 +28,8 @@
     "address of the operators' interface and of /metrics" },
   { "http.operator_key", KQ_SETTING_TEXT, true, OPERATOR_KEY_BYTES_MIN, 127, NULL,
     "key that operators present" },
+  { "http.operator_key_old", KQ_SETTING_TEXT, false, 0, 127, "",
+    "key that is accepted as well while it is replaced" },
   { "shutdown.linger_s", KQ_SETTING_INTEGER, false, 0, 600, "5",
     "seconds that a process which left goes on forwarding" },
 };
@@ -49,6 +51,8 @@
   params->http = kq_settings_address (settings, "http.address");
   snprintf (params->operator_key, sizeof params->operator_key, "%s",
             kq_settings_text (settings, "http.operator_key"));
+  snprintf (params->operator_key_old, sizeof params->operator_key_old, "%s",
+            kq_settings_text (settings, "http.operator_key_old"));
   params->linger_us = kq_settings_integer (settings, "shutdown.linger_s") * KQ_SECOND;
 }
 
--- a/src/process/operator_api.c
+++ b/src/process/operator_api.c
@@ -125,10 +125,10 @@
   kq_metric_add (kq_metrics_counter (api->params.metrics, "kumquat_operator_denied_total",
                                      "Operators' requests refused for a wrong key.", NULL),
                  1);
-  kq_log (LOG_WARNING, "operator-denied", "%s", "remedy=\"use the key of operator.keys\"");
+  kq_log (LOG_WARNING, "operator-denied", "%s", "remedy=\"use the key of http.operator_key\"");
   kq_error_set (
       &error, KQ_ERROR_DENIED,
-      "the operator key is missing or wrong; pass --key-file with a key of operator.keys");
+      "the operator key is missing or wrong; pass --key-file with the key of http.operator_key");
   kq_operator_fail (request, &error);
 }
 
