--- a/include/kumquat/internal/agent_impl.h
+++ b/include/kumquat/internal/agent_impl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "kumquat/agent.h"
+#include "kumquat/burn.h"
 #include "kumquat/http_server.h"
 #include "kumquat/internal/flow_sockets.h"
 #include "kumquat/internal/return_path.h"
@@ -31,6 +32,7 @@
  * struct KqAgent - one agent
  * @life: talloc parent of what one incarnation believes: @placement, @guard and @flows; NULL before
  *   the service is known
+ * @announced_at: when this agent first announced its service
  * @current_via: balancer of the datagram that is handled now, for refusals of flows not held
  */
 struct KqAgent
@@ -42,6 +44,7 @@
   KqService service;
   KqHttpServer *http;
   KqMetrics *metrics;
+  KqBurn *burn;
   KqTargetProbe *probe;
   KqReturnPaths paths;
   KqRandom random;
@@ -55,6 +58,7 @@
   const KqAddress *current_via;
   KqAgentCounters counters;
   KqTargetPhase phase;
+  KqTime announced_at;
   bool shutting_down;
   bool left;
   KqTime shutdown_at;
