--- a/bench/decisions_choice.c
+++ b/bench/decisions_choice.c
@@ -35,6 +35,7 @@
       mean.p99 += one.p99 / SEEDS;
       mean.worth += one.worth / SEEDS;
       mean.messages += one.messages / SEEDS;
+      mean.bytes += one.bytes / SEEDS;
       mean.requests += one.requests;
       mean.lost += one.lost;
     }
@@ -44,9 +45,9 @@
 static void
 print_row (const char *name, const KqChoiceResult *result, const KqChoiceResult *full)
 {
-  printf ("  %-25s %8.3f %8.2f %7.2f %9.3f %9.2f %9llu %5llu\n", name, result->mean, result->p99,
-          result->p99 / full->p99, result->worth / full->worth, result->messages,
-          (unsigned long long)result->requests, (unsigned long long)result->lost);
+  printf ("  %-25s %8.3f %8.2f %7.2f %9.3f %9.2f %7.0f %9llu %5llu\n", name, result->mean,
+          result->p99, result->p99 / full->p99, result->worth / full->worth, result->messages,
+          result->bytes, (unsigned long long)result->requests, (unsigned long long)result->lost);
 }
 
 static void
@@ -137,7 +138,8 @@
           SEEDS, SECONDS);
   printf ("  %-25s %8s %8s %7s %9s %9s %9s %5s\n", "", "mean", "p99", "p99 /", "worth /",
           "messages", "requests", "lost");
-  printf ("  %-25s %8s %8s %7s %9s %9s\n", "", "wait", "wait", "full", "full", "/ request");
+  printf ("  %-25s %8s %8s %7s %9s %9s %7s\n", "", "wait", "wait", "full", "full", "/ request",
+          "request");
   for (unsigned i = 0; i < sizeof cases / sizeof cases[0]; i++)
     run_case (&cases[i]);
   run_lying ();
--- a/src/connection/placement.c
+++ b/src/connection/placement.c
@@ -3,8 +3,10 @@
  * A datagram of a flow that is held here is delivered. One of a flow in the directory is forwarded
  * to its owner. Any other flow is decided by the home of its bucket: a home whose bucket is synced
  * places it, one that is syncing lets it wait, and everyone else forwards it to the home. The first
- * candidate in a forwarded datagram is the home that the forwarder believes in, so an agent in
- * service that another believes to be home claims the bucket. */
+ * candidate in a forwarded datagram is the home that the forwarder believes in, so an agent that
+ * another believes to be home claims the bucket. One that drains does so too: it takes no flow
+ * itself but tells who holds one, while two draining agents that each take the other for the home
+ * would pass the flow to and fro. One that has left the view claims nothing. */
 
 #include <string.h>
 #include <talloc.h>
@@ -125,9 +127,8 @@
   const KqPeer *self = &placement->params.self;
   unsigned bucket = kq_routing_bucket (hash);
   KqBucket *b = &placement->buckets[bucket];
-  const KqTarget *own = kq_placement_target (placement, self->id);
-  bool in_service = own != NULL && own->in_service;
-  bool believed = in_service && packet->from.id != 0 && packet->from.id != self->id &&
+  bool member = kq_placement_target (placement, self->id) != NULL;
+  bool believed = member && packet->from.id != 0 && packet->from.id != self->id &&
                   packet->candidate_count > 0 && packet->candidates[0].id == self->id;
   if (b->home.id == 0 && !b->claimed)
     {
--- a/standins/lib/choice_run.c
+++ b/standins/lib/choice_run.c
@@ -458,6 +458,7 @@
   for (unsigned i = 0; i < KQ_CHOICE_TARGETS; i++)
     messages += kq_fleet_stats (run->fleet, i).messages_sent;
   result.messages = (double)messages / run->request_count;
+  result.bytes = (double)kq_fleet_message_bytes (run->fleet) / run->request_count;
   talloc_free (run);
   return result;
 }
--- a/standins/lib/choice_run.h
+++ b/standins/lib/choice_run.h
@@ -61,6 +61,7 @@
  * struct KqChoiceResult - waits are from the balancer to the start of the work, in mean service
  * times
  * @messages: placement messages a request
+ * @bytes: of those, without the datagrams' headers
  * @lost: requests that reached no target
  */
 typedef struct
@@ -69,6 +70,7 @@
   double p99;
   double worth;
   double messages;
+  double bytes;
   uint64_t requests;
   uint64_t lost;
 } KqChoiceResult;
