Gauges of the request guard in the agent's metrics; a linear search in the full queue

The agent now shows usable and stuck slots, refusals by the target and kept answers, and has target.refusals_not_run. The search for the flow with the most places was quadratic in the queue's length, which the setting allowed up to 100,000; it counts by a short hash now and is linear, and the setting allows 1,000. Ruled out: a limit in the guard that the setting does not tell.

--- a/include/kumquat/agent.h
+++ b/include/kumquat/agent.h
@@ -23,6 +23,7 @@
  * @flow_idle_us: a flow without a datagram for so long is closed
  * @queue_max: requests that wait for a slot
  * @ramp_us: time in which a cold target's usable slots grow to all
+ * @refusals_not_run: the target promises that a request which it answers with 5.03 did not run
  * @drain_limit_us: how long a shutdown waits for open flows
  * @linger_us: how long it forwards for others after it left
  */
@@ -41,6 +42,7 @@
   KqTime flow_idle_us;
   unsigned queue_max;
   KqTime ramp_us;
+  bool refusals_not_run;
   KqTime drain_limit_us;
   KqTime linger_us;
 } KqAgentParams;
--- a/src/process/agent_data.c
+++ b/src/process/agent_data.c
@@ -197,6 +197,7 @@
                                   .kept_answer_us = KEPT_ANSWER_LIFETIME,
                                   .echo_us = ECHO_LIFETIME,
                                   .ramp_us = agent->params.ramp_us,
+                                  .target_refusal_trusted = agent->params.refusals_not_run,
                                   .seed = kq_random_next (&agent->random),
                                   .disable = disabled_rules () };
   memcpy (params.echo_key, agent->params.echo_key, sizeof params.echo_key);
--- a/src/process/agent_http.c
+++ b/src/process/agent_http.c
@@ -83,6 +83,16 @@
   set_gauge (agent, "kumquat_requests_running", "Requests running in the target.", stats->running);
   set_gauge (agent, "kumquat_requests_waiting", "Requests waiting for a slot.", stats->waiting);
   set_gauge (agent, "kumquat_observers", "Feeds open at the target.", stats->observers);
+  set_counter (agent, "kumquat_refused_by_target_total", "Requests that the target refused.",
+               stats->refused_by_target);
+  set_gauge (agent, "kumquat_slots_usable", "Slots after ramp-up and shedding.",
+             stats->slots_usable);
+  set_gauge (agent, "kumquat_slots_stuck",
+             "Slots of expired requests of which the target said nothing since.",
+             stats->slots_stuck);
+  set_gauge (agent, "kumquat_kept_answers", "Outcomes kept for repeats.", stats->kept_answers);
+  set_gauge (agent, "kumquat_kept_bytes", "Bytes of kept answers and of room reserved for them.",
+             stats->kept_bytes);
 }
 
 static void
--- a/src/process/agent_settings.c
+++ b/src/process/agent_settings.c
@@ -18,11 +18,13 @@
   { "target.weight", KQ_SETTING_INTEGER, false, 1, 1000, "100", "relative share of the flows" },
   { "target.ramp_ms", KQ_SETTING_INTEGER, false, 0, 600000, "2000",
     "milliseconds in which a cold target's usable slots grow to all" },
+  { "target.refusals_not_run", KQ_SETTING_BOOLEAN, false, 0, 0, "false",
+    "the target promises that a request which it answers with 5.03 did not run" },
   { "flows.idle_s", KQ_SETTING_INTEGER, false, 5, 86400, "120",
     "seconds without a datagram after which a flow is closed" },
   { "flows.admit_load_permille", KQ_SETTING_INTEGER, false, 0, 100000, "600",
     "load per thousand slots below which a new flow stays without asking other targets" },
-  { "requests.queue_max", KQ_SETTING_INTEGER, false, 0, 100000, "64",
+  { "requests.queue_max", KQ_SETTING_INTEGER, false, 0, 1000, "64",
     "requests that wait for a slot" },
   { "shutdown.drain_limit_s", KQ_SETTING_INTEGER, false, 0, 86400, "300",
     "seconds that a shutdown waits for open flows" },
@@ -47,6 +49,7 @@
   params->target = kq_settings_address (settings, "target.address");
   params->weight = (uint16_t)kq_settings_integer (settings, "target.weight");
   params->ramp_us = kq_settings_integer (settings, "target.ramp_ms") * KQ_MS;
+  params->refusals_not_run = kq_settings_boolean (settings, "target.refusals_not_run");
   params->flow_idle_us = kq_settings_integer (settings, "flows.idle_s") * KQ_SECOND;
   params->admit_load = (unsigned)kq_settings_integer (settings, "flows.admit_load_permille");
   params->queue_max = (unsigned)kq_settings_integer (settings, "requests.queue_max");
--- a/src/request/request_queue.c
+++ b/src/request/request_queue.c
@@ -8,6 +8,8 @@
  */
 #include "kumquat/internal/request_queue.h"
 
+#define FLOW_COUNTERS 512
+
 void
 kq_request_queue_init (KqRequestQueue *queue, unsigned max, bool first_in_first_out)
 {
@@ -44,23 +46,30 @@
   return count;
 }
 
-/* The last request of a flow that has at least two more places than the flow of @exchange, if what
- * leaves has no more worth for its cost: one caller cannot fill the queue against the others. */
+/* The last request of the flow that has most places, if they are at least two more than those of
+ * the flow of @exchange, and if what leaves has no more worth for its cost: one caller cannot fill
+ * the queue against the others. Places are counted by a short hash first; two flows that share one
+ * counter can only hide this rule for a moment, as the flow that is found is counted exactly. */
 static KqExchange *
 find_crowding (const KqRequestQueue *queue, const KqRequestCosts *costs, const KqExchange *exchange)
 {
+  uint16_t places[FLOW_COUNTERS] = { 0 };
   double density = kq_request_costs_density (costs, exchange->class_index);
-  unsigned least = count_flow (queue, &exchange->key) + 2;
+  unsigned most = 0;
   KqExchange *found = NULL;
   KqExchange *other;
   TAILQ_FOREACH (other, &queue->list, entry)
+  places[kq_flow_key_hash (&other->key) % FLOW_COUNTERS]++;
+  TAILQ_FOREACH (other, &queue->list, entry)
   {
-    unsigned count = count_flow (queue, &other->key);
-    if (kq_request_costs_density (costs, other->class_index) > density || count < least)
+    unsigned count = places[kq_flow_key_hash (&other->key) % FLOW_COUNTERS];
+    if (kq_request_costs_density (costs, other->class_index) > density || count < most)
       continue;
     found = other;
-    least = count;
+    most = count;
   }
+  if (found == NULL || count_flow (queue, &found->key) < count_flow (queue, &exchange->key) + 2)
+    return NULL;
   return found;
 }
 
