--- a/Makefile
+++ b/Makefile
@@ -110,7 +110,8 @@
 .SECONDARY:
 
 # The whole system on loopback; needs no sanitizers.
-demo: all
+demo: dependencies
+	$(MAKE) all
 	tools/demo.py --seed $(SEED)
 
 PROOF = KQ_BIN=$(CURDIR)/$(B)/bin tests/integration/proof.py
@@ -131,3 +132,10 @@
 	python3 bench/bench_path.py
 
 .PHONY: demo proof proof-off proof-page bench
+
+# Prints every table of measured decisions, with baselines and targets.
+bench-decisions: benches
+	@set -e; for bench in $(B)/bench/decisions_*; do \
+	  case $$bench in *.*) continue;; esac; echo "== $$bench"; $$bench; echo; done
+
+.PHONY: bench-decisions
