SIGHUP takes keys, queue length and limits into running daemons

Cause: settings were read and checked again but nothing was taken, while the log said reloaded. Ruled out: restarting parts in place; a changed address would cut flows.

--- a/include/kumquat/agent.h
+++ b/include/kumquat/agent.h
@@ -57,5 +57,14 @@
  */
 void kq_agent_shutdown (KqAgent *agent, void (*done) (void *data), void *data);
 
+/**
+ * kq_agent_reload - takes the settings that a running agent can take
+ *
+ * These are the keys of control traffic and of Echo values, the length of the queue, the drain
+ * limit and the linger time. A change of any other is logged as needing a restart and has no
+ * effect.
+ */
+void kq_agent_reload (KqAgent *agent, const KqAgentParams *params);
+
 /** kq_agent_main - runs the program `kumquat-agent`; Return: its exit status */
 int kq_agent_main (int argc, const char **argv);
--- a/include/kumquat/balancer.h
+++ b/include/kumquat/balancer.h
@@ -54,5 +54,13 @@
  * calls @done */
 void kq_balancer_shutdown (KqBalancer *balancer, void (*done) (void *data), void *data);
 
+/**
+ * kq_balancer_reload - takes the settings that a running balancer can take
+ *
+ * These are the keys of control traffic and of operators and the linger time. A change of any other
+ * is logged as needing a restart and has no effect.
+ */
+void kq_balancer_reload (KqBalancer *balancer, const KqBalancerParams *params);
+
 /** kq_balancer_main - runs the program `kumquat-balancer`; Return: its exit status */
 int kq_balancer_main (int argc, const char **argv);
--- a/include/kumquat/internal/program_parts.h
+++ b/include/kumquat/internal/program_parts.h
@@ -22,6 +22,8 @@
     "control addresses of instances to join through" },                                            \
   { "control.key", KQ_SETTING_TEXT, true, 64, 64, NULL,                                            \
     "key of control traffic, 64 hexadecimal digits, the same on all instances" },                  \
+  { "control.old_key", KQ_SETTING_TEXT, false, 0, 64, "",                                          \
+    "key that is accepted besides, while keys are rotated" },                                      \
   { "control.probe_interval_ms", KQ_SETTING_INTEGER, false, 50, 60000, "500",                      \
     "milliseconds between probes of one member each" },                                            \
   { "control.suspicion_ms", KQ_SETTING_INTEGER, false, 100, 600000, "3000",                        \
@@ -36,6 +38,9 @@
 /** kq_program_check_control - Return: 0, or -1 with @error set */
 int kq_program_check_control (const KqSettings *settings, const char *path, KqError *error);
 
+/** kq_program_set_control_keys - gives a running control plane the keys of reloaded settings */
+void kq_program_set_control_keys (KqControl *control, const KqControlParams *params);
+
 /** kq_program_parse_key - Return: 0, or -1 when @text is not 64 hexadecimal digits */
 int kq_program_parse_key (const char *text, uint8_t key[KQ_KEY_BYTES]);
 
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -7,6 +7,7 @@
 
 #include "kumquat/internal/agent_impl.h"
 #include "kumquat/internal/clock.h"
+#include "kumquat/internal/program_parts.h"
 #include "kumquat/internal/test_switch.h"
 #include "kumquat/log.h"
 #include "kumquat/service_document.h"
@@ -293,3 +294,33 @@
   agent->shutdown_data = data;
   update_phase (agent);
 }
+
+static bool
+needs_restart (const KqAgentParams *old, const KqAgentParams *new)
+{
+  return strcmp (old->name, new->name) != 0 ||
+         strcmp (old->failure_domain, new->failure_domain) != 0 ||
+         strcmp (old->service, new->service) != 0 || !kq_address_equal (&old->data, &new->data) ||
+         !kq_address_equal (&old->control.self.control, &new->control.self.control) ||
+         !kq_address_equal (&old->http, &new->http) ||
+         !kq_address_equal (&old->target, &new->target) || old->weight != new->weight ||
+         old->admit_load != new->admit_load || old->flow_idle_us != new->flow_idle_us ||
+         old->ramp_us != new->ramp_us;
+}
+
+void
+kq_agent_reload (KqAgent *agent, const KqAgentParams *params)
+{
+  KqAgentParams *own = &agent->params;
+  if (needs_restart (own, params))
+    kq_log (LOG_WARNING, "settings-need-restart", "instance=%s", own->name);
+  if (memcmp (own->echo_key, params->echo_key, sizeof own->echo_key) != 0 && agent->guard != NULL)
+    kq_request_guard_rotate_echo_key (agent->guard, params->echo_key);
+  memcpy (own->echo_key, params->echo_key, sizeof own->echo_key);
+  own->queue_max = params->queue_max;
+  own->drain_limit_us = params->drain_limit_us;
+  own->linger_us = params->linger_us;
+  kq_program_set_control_keys (agent->control, &params->control);
+  if (agent->guard != NULL)
+    kq_agent_limits_apply (agent);
+}
--- a/src/process/agent_settings.c
+++ b/src/process/agent_settings.c
@@ -88,6 +88,14 @@
   kq_agent_shutdown (agent, shutdown_done, talloc_parent (agent));
 }
 
+static void
+reload (void *state, const KqSettings *settings)
+{
+  KqAgentParams params;
+  fill_params (settings, &params);
+  kq_agent_reload (state, &params);
+}
+
 int
 kq_agent_main (int argc, const char **argv)
 {
@@ -99,6 +107,7 @@
     .check = check,
     .start = start,
     .stop = stop,
+    .reload = reload,
   };
   return kq_program_run (&ops, argc, argv);
 }
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -6,6 +6,7 @@
 
 #include "kumquat/internal/balancer_impl.h"
 #include "kumquat/internal/clock.h"
+#include "kumquat/internal/program_parts.h"
 #include "kumquat/log.h"
 #include "kumquat/service_document.h"
 
@@ -237,3 +238,26 @@
   update_watch (balancer);
   kq_control_leave (balancer->control);
 }
+
+static bool
+needs_restart (const KqBalancerParams *old, const KqBalancerParams *new)
+{
+  return strcmp (old->name, new->name) != 0 ||
+         strcmp (old->failure_domain, new->failure_domain) != 0 ||
+         !kq_address_equal (&old->data, &new->data) ||
+         !kq_address_equal (&old->control.self.control, &new->control.self.control) ||
+         !kq_address_equal (&old->http, &new->http) || old->workers != new->workers ||
+         old->flows_max != new->flows_max || old->flow_idle_us != new->flow_idle_us;
+}
+
+void
+kq_balancer_reload (KqBalancer *balancer, const KqBalancerParams *params)
+{
+  KqBalancerParams *own = &balancer->params;
+  if (needs_restart (own, params))
+    kq_log (LOG_WARNING, "settings-need-restart", "instance=%s", own->name);
+  own->linger_us = params->linger_us;
+  memcpy (own->operator_key, params->operator_key, sizeof own->operator_key);
+  memcpy (own->operator_key_old, params->operator_key_old, sizeof own->operator_key_old);
+  kq_program_set_control_keys (balancer->control, &params->control);
+}
--- a/src/process/balancer_settings.c
+++ b/src/process/balancer_settings.c
@@ -77,6 +77,14 @@
   kq_balancer_shutdown (balancer, shutdown_done, talloc_parent (balancer));
 }
 
+static void
+reload (void *state, const KqSettings *settings)
+{
+  KqBalancerParams params;
+  fill_params (settings, &params);
+  kq_balancer_reload (state, &params);
+}
+
 int
 kq_balancer_main (int argc, const char **argv)
 {
@@ -88,6 +96,7 @@
     .check = kq_program_check_control,
     .start = start,
     .stop = stop,
+    .reload = reload,
   };
   return kq_program_run (&ops, argc, argv);
 }
--- a/src/process/program_parts.c
+++ b/src/process/program_parts.c
@@ -26,9 +26,20 @@
   if (kq_program_parse_key (kq_settings_text (settings, "control.key"), key) < 0)
     return kq_error_set (error, KQ_ERROR_INVALID,
                          "%s: control.key: not hexadecimal; write 64 digits of 0-9 and a-f", path);
+  const char *old_key = kq_settings_text (settings, "control.old_key");
+  if (old_key[0] != '\0' && kq_program_parse_key (old_key, key) < 0)
+    return kq_error_set (error, KQ_ERROR_INVALID,
+                         "%s: control.old_key: not hexadecimal; write 64 digits or remove it",
+                         path);
   return 0;
 }
 
+void
+kq_program_set_control_keys (KqControl *control, const KqControlParams *params)
+{
+  kq_control_set_keys (control, params->key, params->has_old_key ? params->old_key : NULL);
+}
+
 void
 kq_program_control_params (const KqSettings *settings, KqControlParams *params)
 {
@@ -36,6 +47,8 @@
   params->seed_count =
       kq_settings_address_list (settings, "control.seeds", params->seeds, KQ_SEEDS_MAX);
   kq_program_parse_key (kq_settings_text (settings, "control.key"), params->key);
+  const char *old_key = kq_settings_text (settings, "control.old_key");
+  params->has_old_key = kq_program_parse_key (old_key, params->old_key) == 0;
   params->probe_interval_us = kq_settings_integer (settings, "control.probe_interval_ms") * KQ_MS;
   params->suspicion_us = kq_settings_integer (settings, "control.suspicion_ms") * KQ_MS;
   params->budget_bytes_per_s =
