--- a/include/kumquat/control.h
+++ b/include/kumquat/control.h
@@ -32,6 +32,8 @@
  * @key: key of the message authentication code of control traffic
  * @old_key: second key that is accepted but not used to send, while keys are rotated
  * @has_old_key: whether @old_key is set
+ * @service_name: for an agent, the name of its target's service, so that it fetches that document
+ *   alone until kq_control_set_service(); when empty it learns every document until then
  * @probe_interval_us: time between probes of one member each
  * @suspicion_us: how long a suspected member has to refute
  * @budget_bytes_per_s: limit of the bytes that control traffic sends
@@ -47,6 +49,7 @@
   unsigned budget_bytes_per_s;
   uint8_t old_key[32];
   bool has_old_key;
+  char service_name[KQ_NAME_BYTES];
 } KqControlParams;
 
 /**
--- a/include/kumquat/internal/config_spread.h
+++ b/include/kumquat/internal/config_spread.h
@@ -10,6 +10,7 @@
 /**
  * struct KqSpreadEntry - one service's document
  * @service: the service's number
+ * @name: hash of the service's name in the document; 0 when the document has none
  * @known: newest revision heard of
  * @holder: an instance that holds @known
  * @held: revision at @bytes; zero when none
@@ -34,6 +35,7 @@
   uint32_t service;
   uint16_t pulls;
   uint16_t reports;
+  uint64_t name;
   KqRevision known;
   uint64_t holder;
   KqRevision held;
--- a/include/kumquat/internal/group.h
+++ b/include/kumquat/internal/group.h
@@ -36,6 +36,7 @@
  * @self: what is announced; its incarnation is the wall clock at the start in microseconds
  * @seeds: (array): control addresses to join through
  * @seed_count: length of @seeds
+ * @service_name: hash of the name of an agent's service while its number is not known; 0 for none
  * @probe_interval_us: time between probes; also how long a direct probe waits for its answer
  * @suspicion_us: shortest time from suspicion to death
  * @budget_bytes_per_s: limit of the bytes sent
@@ -49,6 +50,7 @@
   KqMember self;
   KqAddress seeds[KQ_GROUP_SEEDS_MAX];
   unsigned seed_count;
+  uint64_t service_name;
   KqTime probe_interval_us;
   KqTime suspicion_us;
   unsigned budget_bytes_per_s;
--- a/include/kumquat/internal/group_impl.h
+++ b/include/kumquat/internal/group_impl.h
@@ -152,7 +152,7 @@
   KqTime next_sync;
 
   unsigned pull_cursor;
-  KqTime next_pull;
+  KqTime next_name_pull;
   unsigned report_cursor;
   KqTime next_report;
   KqBalancer *balancers;
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -193,6 +193,8 @@
   group.budget_bytes_per_s = params->budget_bytes_per_s;
   group.overhead_bytes = UDP_IP_HEADER_BYTES + KQ_CONTROL_CODE_BYTES;
   group.self.peer.incarnation = kq_clock_wall_us ();
+  if (params->service_name[0] != '\0')
+    group.service_name = kq_hash_name (params->service_name);
   randombytes_buf (&group.random_seed, sizeof group.random_seed);
   KqIdentityPool *pool = kq_identity_pool_new (control);
   if (pool != NULL)
--- a/src/version/config_pull.c
+++ b/src/version/config_pull.c
@@ -8,14 +8,16 @@
 
 #define PULL_SERVICES  64   /* documents asked for at once */
 #define PULL_SCAN      2048 /* entries looked at in one tick */
-#define PULL_RETRY_US  (500 * KQ_MS)
-#define PULL_DOUBLINGS 4
+#define PULL_RETRY_US  (250 * KQ_MS)
+#define PULL_DOUBLINGS 2
+#define PULL_NAME_US   (500 * KQ_MS)
 
 bool
 kq_config_wanted (const KqGroup *group, uint32_t service)
 {
   const KqMember *self = &group->params.self;
-  return self->role == KQ_ROLE_BALANCER || self->service == 0 || self->service == service;
+  bool all = self->service == 0 && group->params.service_name == 0;
+  return self->role == KQ_ROLE_BALANCER || all || self->service == service;
 }
 
 static bool
@@ -96,24 +98,20 @@
   return NULL;
 }
 
-void
-kq_config_pull_tick (KqGroup *group)
+/* Asks for @count services by number and, with @name, for one by the hash of its name. */
+static void
+send_pull (KqGroup *group, const KqRecord *source, const uint32_t *services, unsigned count,
+           uint64_t name)
 {
   uint8_t bytes[KQ_CONTROL_DATAGRAM_BYTES];
-  uint32_t services[PULL_SERVICES];
   KqWriter writer;
-  kq_group_refresh_balancers (group);
-  KqSpreadEntry *entry = group->leaving ? NULL : first_missing (group);
-  KqRecord *source = entry == NULL ? NULL : source_of (group, entry);
-  if (source == NULL)
-    return;
-  unsigned count = collect (group, entry, services);
   KqControlHeader header = { .type = KQ_CONTROL_PULL, .sequence = ++group->sequence };
   header.from = group->self;
   header.reply = group->params.self.control;
   header.to = source->id;
   kq_writer_init (&writer, bytes, sizeof bytes);
   kq_control_write_header (&writer, &header);
+  kq_writer_uint (&writer, name);
   for (unsigned i = 0; i < count; i++)
     kq_writer_uint (&writer, services[i]);
   int size = kq_writer_finish (&writer);
@@ -124,6 +122,50 @@
   group->ops.ask (&source->who->member.control, bytes, (size_t)size, group->data);
 }
 
+/* An agent that knows only its service's name asks balancers until one has the document. */
+static void
+pull_by_name (KqGroup *group)
+{
+  const KqGroupParams *params = &group->params;
+  bool known = params->service_name == 0 || params->self.service != 0;
+  if (known || params->self.role != KQ_ROLE_AGENT || group->now < group->next_name_pull ||
+      group->balancer_count == 0)
+    return;
+  uint64_t place = kq_random_below (&group->random, group->balancer_count);
+  const KqRecord *source = live_record (group, group->balancers[place].id);
+  group->next_name_pull = group->now + PULL_NAME_US;
+  if (source != NULL)
+    send_pull (group, source, NULL, 0, params->service_name);
+}
+
+void
+kq_config_pull_tick (KqGroup *group)
+{
+  uint32_t services[PULL_SERVICES];
+  kq_group_refresh_balancers (group);
+  if (group->leaving)
+    return;
+  pull_by_name (group);
+  KqSpreadEntry *entry = first_missing (group);
+  KqRecord *source = entry == NULL ? NULL : source_of (group, entry);
+  if (source == NULL)
+    return;
+  unsigned count = collect (group, entry, services);
+  send_pull (group, source, services, count, 0);
+}
+
+static const KqSpreadEntry *
+find_by_name (const KqGroup *group, uint64_t name)
+{
+  for (unsigned i = 0; i < kq_config_spread_count (group->spread) && name != 0; i++)
+    {
+      const KqSpreadEntry *entry = kq_config_spread_at (group->spread, i);
+      if (entry->name == name && entry->bytes != NULL)
+        return entry;
+    }
+  return NULL;
+}
+
 static bool
 write_document (KqWriter *answer, const KqSpreadEntry *entry)
 {
@@ -143,6 +185,10 @@
   KqControlHeader header = { .type = KQ_CONTROL_DOCUMENTS, .from = group->self };
   header.reply = group->params.self.control;
   kq_control_write_header (answer, &header);
+  const KqSpreadEntry *named = find_by_name (group, kq_reader_uint (reader, UINT64_MAX));
+  if (named != NULL &&
+      kq_token_bucket_take (&group->budget, KQ_PRIORITY_CONFIGURATION, named->size, group->now))
+    write_document (answer, named);
   while (reader->offset < reader->size)
     {
       uint32_t service = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
--- a/src/version/config_report.c
+++ b/src/version/config_report.c
@@ -15,7 +15,7 @@
 #define REPORT_ENTRIES   64            /* services in one datagram */
 #define REPORT_WAIT_US   (100 * KQ_MS) /* how long a collector gathers */
 #define REPORT_RETRY_US  (500 * KQ_MS)
-#define REPORT_DOUBLINGS 6
+#define REPORT_DOUBLINGS 3
 #define QUERY_US         (250 * KQ_MS)
 
 static void
--- a/src/version/config_spread.c
+++ b/src/version/config_spread.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 
 #include "kumquat/internal/config_spread.h"
+#include "kumquat/service_document.h"
 
 struct KqConfigSpread
 {
@@ -138,6 +139,15 @@
                        document->revision.epoch);
 }
 
+static uint64_t
+name_of (const KqDocument *document)
+{
+  KqService service;
+  if (kq_service_parse (document->bytes, document->size, document->revision, &service, NULL) < 0)
+    return 0;
+  return kq_hash_name (service.name);
+}
+
 int
 kq_config_spread_accept (KqConfigSpread *spread, const KqDocument *document, KqError *error)
 {
@@ -164,6 +174,7 @@
     return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for a document; raise the limit");
   talloc_free (entry->bytes);
   entry->bytes = bytes;
+  entry->name = name_of (document);
   entry->size = (uint32_t)document->size;
   entry->held = document->revision;
   toggle (spread, entry);
--- a/src/version/group_send.c
+++ b/src/version/group_send.c
@@ -96,7 +96,7 @@
 static int64_t
 spare_bytes (const KqGroup *group)
 {
-  int64_t spare = group->budget.tokens - group->budget.burst / 2;
+  int64_t spare = group->budget.tokens - group->budget.burst / 4 * 3;
   return spare > 0 ? spare : 0;
 }
 
--- a/src/version/token_bucket.c
+++ b/src/version/token_bucket.c
@@ -29,7 +29,7 @@
 {
   const int64_t reserve[KQ_PRIORITIES] = { -bucket->burst, bucket->burst / 4, bucket->burst / 2 };
   fill (bucket, now);
-  if (bucket->tokens - (int64_t)bytes < reserve[priority])
+  if (bucket->tokens <= reserve[priority])
     {
       bucket->refused[priority]++;
       return false;
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -13,6 +13,7 @@
 #include "kumquat/internal/clock.h"
 #include "kumquat/internal/udp_socket.h"
 #include "kumquat/log.h"
+#include "kumquat/service_document.h"
 #include "unit.h"
 
 #define NODES_MAX 12
@@ -25,6 +26,7 @@
   KqControl *control;
   KqControlParams params;
   unsigned documents;
+  uint32_t last;
 } Node;
 
 typedef struct
@@ -41,7 +43,7 @@
 document_changed (const KqDocument *document, void *data)
 {
   Node *node = data;
-  (void)document;
+  node->last = document->service;
   node->documents++;
 }
 
@@ -65,11 +67,14 @@
 {
   Node *node = &f->nodes[index];
   KqControlParams *params = &node->params;
+  char service_name[KQ_NAME_BYTES];
+  memcpy (service_name, params->service_name, sizeof service_name);
   memset (params, 0, sizeof *params);
+  memcpy (params->service_name, service_name, sizeof service_name);
   snprintf (params->self.name, KQ_NAME_BYTES, "node-%02u", index);
   snprintf (params->self.failure_domain, KQ_NAME_BYTES, "domain-%u", index % 2);
   params->self.role = index < BALANCERS ? KQ_ROLE_BALANCER : KQ_ROLE_AGENT;
-  params->self.service = index < BALANCERS ? 0 : 1 + index % 2;
+  params->self.service = index < BALANCERS || service_name[0] != '\0' ? 0 : 1 + index % 2;
   params->self.weight = 100;
   params->self.control = address_of (index);
   params->seeds[0] = address_of (0);
@@ -258,6 +263,34 @@
   tear_down (&f);
 }
 
+static void
+test_agent_finds_its_service_by_name (void)
+{
+  static const char *const names[] = { "media", "scoring" };
+  Fixture f;
+  set_up (&f, 2);
+  CU_ASSERT (wait_until (&f, all_see_count, 2));
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      KqService service = { .number = 1 + i, .port = 5683, .slots = 5, .connections = 100 };
+      service.deadline_ms = 1000;
+      service.slo_permille = 990;
+      service.slo_latency_ms = 100;
+      snprintf (service.name, KQ_NAME_BYTES, "%s", names[i]);
+      char *json = kq_service_format (f.ev, &service, "test");
+      KqDocument document = { .service = 1 + i, .revision = { 1, 5 }, .size = strlen (json) };
+      document.bytes = (const uint8_t *)json;
+      CU_ASSERT (kq_control_publish (f.nodes[0].control, &document, NULL) == 1);
+    }
+  snprintf (f.nodes[BALANCERS].params.service_name, KQ_NAME_BYTES, "scoring");
+  f.count = BALANCERS + 1;
+  start (&f, BALANCERS);
+  CU_ASSERT (wait_until (&f, has_document, BALANCERS));
+  CU_ASSERT (f.nodes[BALANCERS].last == 2);
+  CU_ASSERT (f.nodes[BALANCERS].documents == 1);
+  tear_down (&f);
+}
+
 static uint64_t
 metric_of (const KqControl *control, const char *name)
 {
@@ -351,6 +384,7 @@
     { "a document is in force, an older one refused",
       test_document_is_in_force_and_older_is_refused },
     { "a newcomer learns documents from peers", test_newcomer_learns_documents_from_peers },
+    { "an agent finds its service by name", test_agent_finds_its_service_by_name },
     { "bad datagrams and messages are counted", test_bad_datagrams_and_messages_are_counted },
     { "keys rotate without loss", test_keys_rotate_without_loss },
   };
