--- a/include/kumquat/internal/placement_state.h
+++ b/include/kumquat/internal/placement_state.h
@@ -13,10 +13,11 @@
 #include "kumquat/internal/placement_message.h"
 #include "kumquat/random.h"
 
-#define KQ_OFFERS_MAX   8
-#define KQ_DEPARTED_MAX 64
-#define KQ_RESERVED_MAX 64
-#define KQ_HANDLED_MAX  256
+#define KQ_OFFERS_MAX    8
+#define KQ_DEPARTED_MAX  64
+#define KQ_RESERVED_MAX  64
+#define KQ_HANDLED_MAX   256
+#define KQ_STRANGERS_MAX 8
 
 /**
  * struct KqTarget - a target of the service that this agent knows
@@ -120,22 +121,26 @@
 
 /**
  * struct KqSyncPeer - progress of the sync with one target
+ * @asked_at: when it was asked first
  */
 typedef struct
 {
   KqPeer peer;
   uint64_t cursor;
   bool done;
+  KqTime asked_at;
   KqTime retry_at;
   unsigned tries;
 } KqSyncPeer;
 
 /**
  * struct KqSyncRound - the current request for the flows of newly homed buckets
+ * @complete: @peers has every agent that must be asked; false after a lack of memory
  */
 typedef struct
 {
   bool active;
+  bool complete;
   uint64_t number;
   KqTime started_at;
   uint8_t buckets[KQ_BUCKET_SET_BYTES];
@@ -152,6 +157,16 @@
   KqTime until;
 } KqReservation;
 
+/**
+ * struct KqStranger - an agent that is not in the view, but asked for flows or was named by others
+ * @until: forgotten then
+ */
+typedef struct
+{
+  KqPeer peer;
+  KqTime until;
+} KqStranger;
+
 /**
  * struct KqHandled - a place request that was answered; a copy of it gets the same answer
  * @tag: hash of the sender's life and the request's number
@@ -169,6 +184,8 @@
  * @directory: flows of this agent's buckets that other targets hold
  * @digest: of the targets known
  * @departed: lives that left the view, the last KQ_DEPARTED_MAX of them
+ * @strangers: those that asked for flows
+ * @silent: those that did not answer, and are not waited for again for a while
  * @last_number: of requests sent; never used twice in one life
  */
 struct KqPlacement
@@ -186,6 +203,9 @@
   uint64_t digest;
   KqPeer departed[KQ_DEPARTED_MAX];
   unsigned departed_count;
+  KqStranger strangers[KQ_STRANGERS_MAX];
+  KqStranger silent[KQ_STRANGERS_MAX];
+  unsigned silent_next;
   KqBucket buckets[KQ_BUCKETS];
   KqFlowShard *flows;
   KqFlowShard *directory;
@@ -212,6 +232,10 @@
 /* placement_view.c */
 const KqTarget *kq_placement_target (const KqPlacement *placement, uint64_t id);
 bool kq_placement_is_gone (const KqPlacement *placement, const KqPeer *peer);
+bool kq_placement_is_stranger (const KqPlacement *placement, const KqPeer *peer);
+bool kq_placement_is_silent (const KqPlacement *placement, const KqPeer *peer, KqTime now);
+void kq_placement_meet (KqPlacement *placement, const KqPeer *peer, KqTime now);
+void kq_placement_give_up (KqPlacement *placement, const KqPeer *peer, KqTime now);
 
 /* placement_pending.c */
 KqPending *kq_pending_find (KqPlacement *placement, const KqFlowKey *key);
@@ -243,6 +267,10 @@
                       KqTime now);
 void kq_sync_tick (KqPlacement *placement, KqTime now);
 
+/* placement_sync_answer.c */
+void kq_sync_answer (KqPlacement *placement, const KqPeer *from, const KqPlacementMessage *request,
+                     KqTime now);
+
 /* placement_directory.c */
 void kq_directory_drop_gone (KqPlacement *placement, KqTime now);
 void kq_directory_drop_buckets (KqPlacement *placement, const uint8_t buckets[KQ_BUCKET_SET_BYTES],
--- a/src/connection/placement_view.c
+++ b/src/connection/placement_view.c
@@ -5,6 +5,8 @@
 #include "kumquat/internal/peer_table.h"
 #include "kumquat/internal/placement_state.h"
 
+#define STRANGER_LIFE (15 * KQ_SECOND) /* three times as long as views lag */
+
 const KqTarget *
 kq_placement_target (const KqPlacement *placement, uint64_t id)
 {
@@ -28,6 +30,62 @@
   return false;
 }
 
+/* Tells whether @peer is a life that the view does not know, and that it has not seen end. */
+bool
+kq_placement_is_stranger (const KqPlacement *placement, const KqPeer *peer)
+{
+  const KqTarget *target = kq_placement_target (placement, peer->id);
+  if (target != NULL)
+    return peer->incarnation > target->peer.incarnation;
+  return !kq_placement_is_gone (placement, peer);
+}
+
+static bool
+same_life (const KqPeer *a, const KqPeer *b)
+{
+  return a->id == b->id && a->incarnation == b->incarnation;
+}
+
+bool
+kq_placement_is_silent (const KqPlacement *placement, const KqPeer *peer, KqTime now)
+{
+  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
+    if (same_life (&placement->silent[i].peer, peer) && now < placement->silent[i].until)
+      return kq_placement_is_stranger (placement, peer);
+  return false;
+}
+
+void
+kq_placement_give_up (KqPlacement *placement, const KqPeer *peer, KqTime now)
+{
+  placement->silent[placement->silent_next++ % KQ_STRANGERS_MAX] =
+      (KqStranger){ .peer = *peer, .until = now + STRANGER_LIFE };
+}
+
+/* Notes that @peer sent a sync message, so it runs. */
+void
+kq_placement_meet (KqPlacement *placement, const KqPeer *peer, KqTime now)
+{
+  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
+    if (same_life (&placement->silent[i].peer, peer))
+      placement->silent[i].until = 0;
+  if (!kq_placement_is_stranger (placement, peer))
+    return;
+  KqStranger *oldest = &placement->strangers[0];
+  for (unsigned i = 0; i < KQ_STRANGERS_MAX; i++)
+    {
+      KqStranger *stranger = &placement->strangers[i];
+      if (stranger->peer.id == peer->id)
+        {
+          oldest = stranger;
+          break;
+        }
+      if (stranger->until < oldest->until)
+        oldest = stranger;
+    }
+  *oldest = (KqStranger){ .peer = *peer, .until = now + STRANGER_LIFE };
+}
+
 static void
 note_departed (KqPlacement *placement, const KqTarget *targets, unsigned count)
 {
@@ -66,7 +124,8 @@
       targets[i].peer = member->peer;
       targets[i].since = known == NULL ? now : known->since;
       targets[i].in_service = kq_routing_in_service (view, member);
-      placement->digest ^= XXH3_64bits (&member->peer.id, sizeof member->peer.id);
+      placement->digest ^=
+          XXH3_64bits_withSeed (&member->peer.id, sizeof member->peer.id, member->peer.incarnation);
     }
   placement->targets = targets;
   placement->target_count = view->count;
@@ -84,8 +143,11 @@
       KqPeer candidates[KQ_CANDIDATES_MAX] = { { 0 } };
       kq_routing_candidates (placement->routing, i, candidates);
       b->claimed = false;
-      if (!kq_peer_equal (&b->home, &candidates[0]) || kq_placement_is_gone (placement, &b->fence))
+      bool moved = !kq_peer_equal (&b->home, &candidates[0]);
+      if (moved || kq_placement_is_gone (placement, &b->fence))
         b->fence_fresh = false;
+      if (moved && candidates[0].id == placement->params.self.id)
+        b->synced = false;
       b->home = candidates[0];
     }
 }
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -11,7 +11,8 @@
 #include "store_server.h"
 #include "unit.h"
 
-#define TIMEOUT_US (200 * KQ_MS)
+#define TIMEOUT_US      (200 * KQ_MS)    /* tests that wait for a call to time out */
+#define LONG_TIMEOUT_US (60 * KQ_SECOND) /* tests in which no call may time out, on any machine */
 
 /**
  * struct Got - what a callback was given
@@ -169,11 +170,30 @@
   tear_down ();
 }
 
+static void
+test_reads_chosen_keys_in_one_call (void)
+{
+  char keys[2][96];
+  Got got = { 0 };
+  set_up ();
+  write_key ("a", "one", 0);
+  write_key ("ab", "two", 0);
+  snprintf (keys[0], sizeof keys[0], "%sa", prefix);
+  snprintf (keys[1], sizeof keys[1], "%smissing", prefix);
+  const char *wanted[] = { keys[0], keys[1] };
+  kq_store_read_keys (store, wanted, 2, on_reply, &got);
+  wait_calls (&got, 1);
+  CU_ASSERT (got.kind == KQ_ERROR_NONE && got.count == 1 && strcmp (got.text, "one") == 0);
+  tear_down ();
+}
+
 static void
 test_large_value (void)
 {
   set_up ();
   size_t size = 900000;
+  talloc_free (store);
+  store = kq_store_new (ev, ev, &address, 1, LONG_TIMEOUT_US, NULL);
   char *text = talloc_zero_array (ev, char, size + 1);
   memset (text, 'x', size);
   CU_ASSERT (write_key ("a", text, 0).kind == KQ_ERROR_NONE);
@@ -334,6 +354,7 @@
     { "writes happen together or not", test_writes_happen_together_or_not },
     { "read goes over pages", test_read_goes_over_pages },
     { "watch tells the whole, then changes", test_watch_tells_the_whole_then_changes },
+    { "reads chosen keys in one call", test_reads_chosen_keys_in_one_call },
     { "large value", test_large_value },
     { "refused connection is no effect", test_refused_connection_is_no_effect },
     { "lost answer is unknown outcome", test_lost_answer_is_unknown_outcome },
