--- a/include/kumquat/view.h
+++ b/include/kumquat/view.h
@@ -78,7 +78,7 @@
  *   @drain_limit_ms
  * @weights: (array): weights that operators set; a target without one keeps what it announces
  * @weight_count: length of @weights
- * @worths: (array): worth of one answered request by class, which is the first segment of its path
+ * @worths: (array): worth of one answered request by class, which callers name as class=NAME
  * @worth_count: length of @worths; a class without an entry is worth 1
  */
 #define KQ_DENIED_MAX  64
--- a/src/process/balancer_settings.c
+++ b/src/process/balancer_settings.c
@@ -77,6 +77,18 @@
   kq_balancer_shutdown (balancer, shutdown_done, talloc_parent (balancer));
 }
 
+/* Only the operator keys are taken while the process runs. */
+static void
+reload (void *state, const KqSettings *settings)
+{
+  KqBalancer *balancer = state;
+  KqBalancerParams params;
+  fill_params (settings, &params);
+  memcpy (balancer->params.operator_key, params.operator_key, sizeof params.operator_key);
+  memcpy (balancer->params.operator_key_old, params.operator_key_old,
+          sizeof params.operator_key_old);
+}
+
 int
 kq_balancer_main (int argc, const char **argv)
 {
@@ -88,6 +100,7 @@
     .check = kq_program_check_control,
     .start = start,
     .stop = stop,
+    .reload = reload,
   };
   return kq_program_run (&ops, argc, argv);
 }
--- a/src/process/operator_status.c
+++ b/src/process/operator_status.c
@@ -50,7 +50,7 @@
   if (target->phase == KQ_PHASE_DRAINING)
     return "drains: its instance is stopping or its target asked for it";
   if (target->phase == KQ_PHASE_STARTING)
-    return "starts: its target does not answer yet";
+    return "starts: its agent waits for its target or the configuration";
   if (target->state == KQ_MEMBER_SUSPECT)
     return "suspected: it misses probes";
   return answered ? "takes new flows" : "takes new flows; its agent did not answer in time";
--- a/src/version/plan_effects.c
+++ b/src/version/plan_effects.c
@@ -52,8 +52,19 @@
          target->state <= KQ_MEMBER_SUSPECT && kq_service_admits (service, target);
 }
 
+/* An agent whose target the configuration denies announces that it drains; allowed again, it
+ * serves. */
 static void
-fill_side (const void *parent, const KqPlanInput *input, const KqService *service, Side *side)
+set_allowed_phase (const KqService *denying, const KqService *service, KqMember *target)
+{
+  if (denying != NULL && target->phase == KQ_PHASE_DRAINING &&
+      !kq_service_admits (denying, target) && kq_service_admits (service, target))
+    target->phase = KQ_PHASE_SERVING;
+}
+
+static void
+fill_side (const void *parent, const KqPlanInput *input, const KqService *denying,
+           const KqService *service, Side *side)
 {
   side->targets = talloc_array (parent, KqMember, input->member_count + 1);
   for (unsigned i = 0; i < input->member_count; i++)
@@ -62,6 +73,7 @@
       if (member->role != KQ_ROLE_AGENT || member->service != service->number)
         continue;
       side->targets[side->count] = *member;
+      set_allowed_phase (denying, service, &side->targets[side->count]);
       side->targets[side->count].weight = (uint16_t)kq_service_weight (service, member);
       side->count++;
     }
@@ -309,8 +321,9 @@
   Side *after = talloc_zero (scratch, Side);
   int64_t drain_ms = 0;
   if (change->base != NULL)
-    fill_side (scratch, input, &change->base->service, before);
-  fill_side (scratch, input, &change->after, after);
+    fill_side (scratch, input, NULL, &change->base->service, before);
+  fill_side (scratch, input, change->base == NULL ? NULL : &change->base->service, &change->after,
+             after);
   Totals totals = total_work (input, after);
   unsigned moved = count_moved (before, after);
   if (change->base != NULL)
--- a/tests/integration/cluster.py
+++ b/tests/integration/cluster.py
@@ -73,7 +73,7 @@
     def _put_service(self, document):
         """Writes a service past the system, as the platform's own tools would."""
         self.documents[document["name"]] = document
-        key = f"/kumquat/v1/services/{document['name']}"
+        key = f"/kumquat/v1/services/{document['number']}"
         put = {"key": encode(key), "value": encode(json.dumps(document))}
         body = json.dumps({"compare": [], "success": [{"request_put": put}]}).encode()
         request = urllib.request.Request(f"http://{self.store_address}/v3/kv/txn", body,
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -283,6 +283,24 @@
   talloc_free (fixture);
 }
 
+static void
+test_target_that_drains_as_configured_joins_again (void)
+{
+  Fixture *fixture = set_up ();
+  KqService *service = &fixture->bases[0].service;
+  snprintf (service->denied[0], KQ_NAME_BYTES, "akaki");
+  service->denied_count = 1;
+  fixture->members[3].phase = KQ_PHASE_DRAINING;
+  json_t *root = plan_json (fixture, "{\"intents\":[{\"kind\":\"join\",\"service\":\"scoring\","
+                                     "\"name\":\"akaki\"}]}");
+  json_t *effects = json_array_get (json_object_get (root, "effects"), 0);
+  json_t *target = json_array_get (json_object_get (effects, "targets"), 3);
+  CU_ASSERT_STRING_EQUAL (json_text (target, "effect"), "joins");
+  CU_ASSERT (effect (root, "buckets_moved") > 0);
+  json_decref (root);
+  talloc_free (fixture);
+}
+
 static void
 test_move_in_steps (void)
 {
@@ -310,6 +328,8 @@
     { "altered plan is refused", test_altered_plan_is_refused },
     { "name of a removed service gets a new number",
       test_name_of_a_removed_service_gets_a_new_number },
+    { "target that drains as configured joins again",
+      test_target_that_drains_as_configured_joins_again },
     { "move in steps", test_move_in_steps },
   };
   return kq_unit_run ("plan", tests, sizeof tests / sizeof tests[0]);
