A change after a restored store begins another epoch

Cause: after the store was restored to an older state, revisions repeat; a confirmed change could carry a revision that every node refuses as old, while the confirm said yes. Change: a document may carry an epoch; a plan whose base is older than what is in force takes the next epoch and warns that it replaces what is in force. Ruled out: an epoch key of its own in the store (the restore takes it back as well); bumping the epoch without an operator (two watchers could bump it twice). Conclusion: in force never goes back, and operators can go on after a restore.

--- a/include/kumquat/service_document.h
+++ b/include/kumquat/service_document.h
@@ -3,13 +3,15 @@
 
 #include "kumquat/view.h"
 
+#define KQ_EPOCH_FIRST    1 /* a document without an epoch belongs to this one */
 #define KQ_STORE_PREFIX   "/kumquat/v1/"
 #define KQ_STORE_SERVICES "/kumquat/v1/services/"
 
 /**
  * kq_service_parse - reads a document and checks every field
  * @bytes: (borrowed): the JSON text
- * @revision: version to record in @service
+ * @revision: version to record in @service; its epoch is KQ_EPOCH_FIRST, which an epoch in the
+ *   document replaces
  * @service: (out): the configuration
  *
  * Return: 0, or -1 with @error set.
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -12,7 +12,6 @@
 
 #define TICK_MS           20
 #define FLOW_TABLE_SHARDS 64
-#define CONFIG_EPOCH      1
 
 static void
 swap_routes (KqForwarder *forwarder, KqRoutes *fresh)
@@ -59,7 +58,7 @@
   for (unsigned i = 0; i < reply->count; i++)
     {
       const KqStoreValue *value = &reply->values[i];
-      KqRevision revision = { CONFIG_EPOCH, value->mod_revision };
+      KqRevision revision = { KQ_EPOCH_FIRST, value->mod_revision };
       KqService service;
       if (kq_service_parse (value->bytes, value->size, revision, &service, &error) < 0)
         {
--- a/src/version/plan.c
+++ b/src/version/plan.c
@@ -306,12 +306,42 @@
   return list;
 }
 
+static const KqService *
+in_force_of (const KqPlanInput *input, uint32_t number)
+{
+  for (unsigned i = 0; i < input->other_count; i++)
+    if (input->others[i]->number == number)
+      return input->others[i];
+  return NULL;
+}
+
+/* What is in force is never newer than the store, unless the store was restored to an older state.
+ * A change then begins another epoch, since its revision may be one that was used before. */
+static void
+set_epoch (const KqPlanInput *input, KqPlanChange *change, KqPlanNotes *notes)
+{
+  const KqService *in_force = in_force_of (input, change->after.number);
+  KqRevision stored = { .epoch = KQ_EPOCH_FIRST };
+  if (change->base != NULL)
+    stored = change->base->service.revision;
+  change->after.revision.epoch = stored.epoch;
+  if (in_force == NULL || kq_revision_compare (in_force->revision, stored) <= 0)
+    return;
+  change->after.revision.epoch = in_force->revision.epoch + 1;
+  kq_plan_warn (notes, change->after.name,
+                "the store was restored: it holds revision %" PRIu64 ", revision %" PRIu64
+                " is in force; this change begins epoch %u and replaces what is in force",
+                stored.revision, in_force->revision.revision, change->after.revision.epoch);
+}
+
 static char *
 finish (const void *parent, Planner *planner)
 {
   char digest[KQ_DIGEST_BYTES];
   KqPlanNotes notes = { .warnings = json_array (), .refusals = json_array () };
   json_t *effects = json_array ();
+  for (unsigned i = 0; i < planner->count; i++)
+    set_epoch (planner->input, &planner->changes[i], &notes);
   for (unsigned i = 0; i < planner->count; i++)
     json_array_append_new (effects, kq_plan_effects (planner->input, &planner->changes[i], &notes));
   check_ports (planner, &notes);
--- a/src/version/plan_document.c
+++ b/src/version/plan_document.c
@@ -80,7 +80,7 @@
                     KqError *error)
 {
   memset (base, 0, sizeof *base);
-  KqRevision revision = { .revision = mod_revision };
+  KqRevision revision = { .epoch = KQ_EPOCH_FIRST, .revision = mod_revision };
   if (kq_service_parse (bytes, size, revision, &base->service, error) < 0)
     return -1;
   json_t *root = json_loadb ((const char *)bytes, size, 0, NULL);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -46,7 +46,7 @@
   Fixture *fixture = talloc_zero (NULL, Fixture);
   KqService *service = &fixture->bases[0].service;
   *service = (KqService){ .number = 1,
-                          .revision.revision = 7,
+                          .revision = { KQ_EPOCH_FIRST, 7 },
                           .name = "scoring",
                           .port = 5683,
                           .slots = 5,
@@ -254,6 +254,49 @@
   talloc_free (fixture);
 }
 
+/* Plans a change while @revision is in force, and reads back what it would write. */
+static KqRevision
+revision_written (Fixture *fixture, KqRevision in_force, size_t *warnings)
+{
+  static const char request[] =
+      "{\"intents\":[{\"kind\":\"weight\",\"service\":\"scoring\",\"name\":"
+      "\"scoring-1\",\"value\":50}]}";
+  KqError error = { 0 };
+  KqService service = fixture->bases[0].service;
+  const KqService *others[] = { &service };
+  service.revision = in_force;
+  fixture->input.others = others;
+  fixture->input.other_count = 1;
+  char *text = plan (fixture, request, &error);
+  json_t *root = json_loads (text, 0, NULL);
+  *warnings = json_array_size (json_object_get (root, "warnings"));
+  json_decref (root);
+  KqPlanWrites *writes = kq_plan_read (fixture, text, strlen (text), &error);
+  KqPlanBase written;
+  const char *value = writes->writes[0].value;
+  CU_ASSERT_FATAL (
+      kq_plan_base_parse ((const uint8_t *)value, strlen (value), 8, &written, &error) == 0);
+  return written.service.revision;
+}
+
+static void
+test_change_after_a_restored_store_begins_an_epoch (void)
+{
+  Fixture *fixture = set_up ();
+  size_t warnings;
+  KqRevision before = { KQ_EPOCH_FIRST, 7 };
+  KqRevision written = revision_written (fixture, before, &warnings);
+  CU_ASSERT (written.epoch == KQ_EPOCH_FIRST && warnings == 0);
+  KqRevision newer = { KQ_EPOCH_FIRST, 50 };
+  written = revision_written (fixture, newer, &warnings);
+  CU_ASSERT (written.epoch == KQ_EPOCH_FIRST + 1 && warnings == 1);
+  CU_ASSERT (kq_revision_compare (written, newer) > 0);
+  KqRevision later = { 4, 3 };
+  written = revision_written (fixture, later, &warnings);
+  CU_ASSERT (written.epoch == 5 && kq_revision_compare (written, later) > 0);
+  talloc_free (fixture);
+}
+
 static void
 test_altered_plan_is_refused (void)
 {
@@ -325,6 +368,8 @@
     { "requests that do not fit are errors", test_requests_that_do_not_fit_are_errors },
     { "whole is planned as the difference", test_whole_is_planned_as_the_difference },
     { "confirmed writes and undo", test_confirmed_writes_and_undo },
+    { "a change after a restored store begins an epoch",
+      test_change_after_a_restored_store_begins_an_epoch },
     { "altered plan is refused", test_altered_plan_is_refused },
     { "name of a removed service gets a new number",
       test_name_of_a_removed_service_gets_a_new_number },
