--- a/include/kumquat/settings.h
+++ b/include/kumquat/settings.h
@@ -49,6 +49,9 @@
 KqSettings *kq_settings_load (const void *parent, const char *path, const KqSettingSpec *specs,
                               size_t count, KqError *error);
 
+/** kq_settings_line - Return: line of the file on which @key stands, 1 when it is missing there */
+unsigned kq_settings_line (const KqSettings *settings, const char *key);
+
 /* Getters take a key of the table; asking for another key or type is a programming error. */
 const char *kq_settings_text (const KqSettings *settings, const char *key);
 int64_t kq_settings_integer (const KqSettings *settings, const char *key);
--- a/src/process/agent_settings.c
+++ b/src/process/agent_settings.c
@@ -63,7 +63,8 @@
     return -1;
   if (kq_program_parse_key (kq_settings_text (settings, "echo.key"), key) < 0)
     return kq_error_set (error, KQ_ERROR_INVALID,
-                         "%s: echo.key: not hexadecimal; write 64 digits of 0-9 and a-f", path);
+                         "%s:%u: echo.key: not hexadecimal; write 64 digits of 0-9 and a-f", path,
+                         kq_settings_line (settings, "echo.key"));
   return 0;
 }
 
--- a/src/process/program_parts.c
+++ b/src/process/program_parts.c
@@ -25,7 +25,8 @@
   uint8_t key[KQ_KEY_BYTES];
   if (kq_program_parse_key (kq_settings_text (settings, "control.key"), key) < 0)
     return kq_error_set (error, KQ_ERROR_INVALID,
-                         "%s: control.key: not hexadecimal; write 64 digits of 0-9 and a-f", path);
+                         "%s:%u: control.key: not hexadecimal; write 64 digits of 0-9 and a-f",
+                         path, kq_settings_line (settings, "control.key"));
   const char *old_key = kq_settings_text (settings, "control.old_key");
   if (old_key[0] != '\0' && kq_program_parse_key (old_key, key) < 0)
     return kq_error_set (error, KQ_ERROR_INVALID,
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -197,6 +197,15 @@
   return NULL;
 }
 
+unsigned
+kq_settings_line (const KqSettings *settings, const char *key)
+{
+  const KqSettingSpec *spec = find_spec (settings->specs, settings->count, key);
+  assert (spec != NULL);
+  unsigned line = settings->values[spec - settings->specs].line;
+  return line == 0 ? 1 : line;
+}
+
 static const KqTomlValue *
 find_value (const KqSettings *settings, const char *key, KqSettingType type)
 {
--- a/src/process/toml_file.cc
+++ b/src/process/toml_file.cc
@@ -97,8 +97,9 @@
     {
       std::string what (failure.description ());
       unsigned line = failure.source ().begin.line;
-      kq_error_set (error, KQ_ERROR_INVALID, "%s:%u: -: %.120s; correct the file", path,
-                    line == 0 ? 1 : line, what.c_str ());
+      kq_error_set (error, KQ_ERROR_INVALID, "%s:%u: -: %.120s; %s", path,
+                    line == 0 ? 1 : line, what.c_str (),
+                    line == 0 ? "check the path" : "correct the file");
     }
   talloc_free (file);
   return nullptr;
