A restarted sync round goes on waiting for a silent stranger instead of anew

A home restarts its round when more buckets need one, and each restart gave a silent agent outside the view its three seconds again. Also tried, and not taken in: asking agents never met for flows of buckets that are synced already, against flows placed apart at a cold start.

--- a/include/kumquat/internal/placement_state.h
+++ b/include/kumquat/internal/placement_state.h
@@ -135,6 +135,8 @@
 
 /**
  * struct KqSyncRound - the current request for the flows of newly homed buckets
+ * @earlier: @peers of the round before, so that a restart does not begin the wait for a silent one
+ *   anew
  * @complete: @peers has every agent that must be asked; false after a lack of memory
  */
 typedef struct
@@ -146,6 +148,8 @@
   uint8_t buckets[KQ_BUCKET_SET_BYTES];
   KqSyncPeer *peers;
   unsigned peer_count;
+  KqSyncPeer *earlier;
+  unsigned earlier_count;
 } KqSyncRound;
 
 /**
--- a/src/connection/placement_sync.c
+++ b/src/connection/placement_sync.c
@@ -42,6 +42,18 @@
   return NULL;
 }
 
+static KqTime
+asked_since (const KqSyncRound *round, const KqPeer *peer, KqTime now)
+{
+  for (unsigned i = 0; i < round->earlier_count; i++)
+    {
+      const KqSyncPeer *earlier = &round->earlier[i];
+      if (earlier->peer.id == peer->id && earlier->peer.incarnation == peer->incarnation)
+        return earlier->done ? now : earlier->asked_at;
+    }
+  return now;
+}
+
 /* Asks @peer in this round, unless it is asked already; another life of it is asked anew. */
 static int
 add_peer (KqPlacement *placement, const KqPeer *peer, KqTime now)
@@ -62,7 +74,7 @@
       round->peers = peers;
       found = &peers[round->peer_count++];
     }
-  *found = (KqSyncPeer){ .peer = *peer, .asked_at = now };
+  *found = (KqSyncPeer){ .peer = *peer, .asked_at = asked_since (round, peer, now) };
   send_request (placement, found, now);
   return 0;
 }
@@ -173,7 +185,10 @@
   round->active = true;
   round->number = ++placement->last_number;
   round->started_at = now;
-  TALLOC_FREE (round->peers);
+  talloc_free (round->earlier);
+  round->earlier = round->peers;
+  round->earlier_count = round->peer_count;
+  round->peers = NULL;
   round->peer_count = 0;
   round->complete = add_known_peers (placement, now) == 0;
 }
