--- a/Makefile
+++ b/Makefile
@@ -139,3 +139,13 @@
 	  case $$bench in *.*) continue;; esac; echo "== $$bench"; $$bench; echo; done
 
 .PHONY: bench-decisions
+
+# Saves the figures of build/measured and writes docs/CAPACITY.md from them; bench-decisions and
+# measure-control give the figures.
+capacity:
+	tools/capacity.py
+
+measure-control: benches
+	$(B)/bench/control_slope
+
+.PHONY: capacity measure-control
--- a/bench/decisions_membership.c
+++ b/bench/decisions_membership.c
@@ -303,7 +303,14 @@
 }
 
 static void
-table_domain (unsigned nodes, uint64_t seed)
+keep_worst (double *worst, double value)
+{
+  if (value > *worst)
+    *worst = value;
+}
+
+static void
+table_domain (unsigned nodes, uint64_t seed, double *worst_lost_s, double *worst_restart_s)
 {
   GroupNetworkParams params = group_network_defaults (nodes, seed);
   params.loss = LOSS;
@@ -334,16 +341,13 @@
   bytes = (bytes_of (&after) - bytes_of (&before)) / nodes / back_s;
   print_plain ("all know all again after its restart", back_s, "s");
   print_row ("bytes a second a node meanwhile", bytes, "B/s", BUDGET_BYTES);
-  char name[64];
-  snprintf (name, sizeof name, "domain_lost_s_%u", nodes);
-  write_measured (name, lost_s, "s");
-  snprintf (name, sizeof name, "domain_restart_s_%u", nodes);
-  write_measured (name, back_s, "s");
+  keep_worst (worst_lost_s, lost_s);
+  keep_worst (worst_restart_s, back_s);
   talloc_free (network);
 }
 
 static void
-table_partition (unsigned nodes, uint64_t seed)
+table_partition (unsigned nodes, uint64_t seed, double *worst_healed_s)
 {
   GroupNetworkParams params = group_network_defaults (nodes, seed);
   params.loss = LOSS;
@@ -360,9 +364,7 @@
           (unsigned long long)seed);
   print_plain ("all know all again after healing", healed_s, "s");
   print_row ("lives that ended", (double)group_network_sum (network).wakes, "lives", 0);
-  char name[64];
-  snprintf (name, sizeof name, "partition_healed_s_%u", nodes);
-  write_measured (name, healed_s, "s");
+  keep_worst (worst_healed_s, healed_s);
   talloc_free (network);
 }
 
@@ -436,6 +438,26 @@
   talloc_free (network);
 }
 
+static void
+table_faults (void)
+{
+  double lost[2] = { 0 };
+  double restart[2] = { 0 };
+  double healed = 0;
+  printf ("\nfailure domains and partitions, 5%% loss\n");
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      table_domain (150, seed, &lost[0], &restart[0]);
+      table_partition (150, seed, &healed);
+    }
+  table_domain (600, 1, &lost[1], &restart[1]);
+  write_measured ("domain_lost_s_150", lost[0], "s");
+  write_measured ("domain_restart_s_150", restart[0], "s");
+  write_measured ("domain_lost_s_600", lost[1], "s");
+  write_measured ("domain_restart_s_600", restart[1], "s");
+  write_measured ("partition_healed_s_150", healed, "s");
+}
+
 int
 main (void)
 {
@@ -452,13 +474,7 @@
   table_false_deaths ();
   table_baseline_bytes ();
   table_changes (600);
-  printf ("\nfailure domains and partitions, 5%% loss\n");
-  for (uint64_t seed = 1; seed <= SEEDS; seed++)
-    {
-      table_domain (150, seed);
-      table_partition (150, seed);
-    }
-  table_domain (600, 1);
+  table_faults ();
   printf ("\n%u target(s) missed\n", missed);
   fclose (measured);
   return 0;
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -117,6 +117,10 @@
     table.add("all of these, B/s sent", "token bucket with priorities",
               ["membership_idle_bytes_per_s_6500", "membership_change_bytes", "config_change_bytes"],
               lambda p, m, c: p + m * CLAIMS_PER_S + c * CHANGES_PER_S, "B/s", BUDGET_BYTES_PER_S)
+    table.add("changes of configuration a second that the budget carries",
+              "what probes leave of the budget",
+              ["membership_idle_bytes_per_s_6500", "config_change_bytes"],
+              lambda p, c: (BUDGET_BYTES_PER_S - p) / c, "1/s")
     table.add("processor time, real sockets", "one UDP socket, received datagrams a second",
               ["membership_datagrams_per_s", "control_cpu_ns_per_datagram"],
               lambda d, ns: d * ns / 1e9 * 100, "%", BUDGET_CORE * 100)
@@ -205,7 +209,7 @@
     table.add("descriptions of a restarted failure domain, s of the whole budget",
               "each node receives each description once at least", ["membership_item_bytes"],
               lambda b: b * MEMBERS_R / 3 / BUDGET_BYTES_PER_S, "s")
-    table.add("region cut in halves for 10 minutes, 150 members, healed after, s",
+    table.add("region cut in halves for 2 minutes, 150 members, healed after, s",
               "dead members are probed now and then", ["partition_healed_s_150"], lambda s: s, "s")
     return table.text()
 
@@ -238,8 +242,12 @@
 - Regions are groups of their own and exchange nothing. A region that is apart for an hour keeps its
   members and configuration; it gets no new configuration unless it reaches the store. One address
   that is served in several regions is the fabric's matter.
+- While a third of 600 members was lost, a node sent slightly more than 21 KB a second over the four
+  seconds until all knew (`make bench-decisions` prints it as missed): the bucket's burst and the
+  probes of the check, which may overdraw it. Over ten seconds it is below.
 - After the restart of a whole failure domain, the descriptions of its members need the whole budget
   for the time stated above at least; probes keep their priority meanwhile.
+- Memory is heap in use; the code of libraries and the stacks of ZeroMQ's threads are not in it.
 - Full-size runs are library nodes in one thread; real sockets were measured with 100 instances in
   one process.
 """
