--- a/include/kumquat/internal/program_parts.h
+++ b/include/kumquat/internal/program_parts.h
@@ -24,9 +24,9 @@
     "key of control traffic, 64 hexadecimal digits, the same on all instances" },                  \
   { "control.old_key", KQ_SETTING_TEXT, false, 0, 64, "",                                          \
     "key that is accepted besides, while keys are rotated" },                                      \
-  { "control.probe_interval_ms", KQ_SETTING_INTEGER, false, 50, 60000, "500",                      \
+  { "control.probe_interval_ms", KQ_SETTING_INTEGER, false, 50, 60000, "200",                      \
     "milliseconds between probes of one member each" },                                            \
-  { "control.suspicion_ms", KQ_SETTING_INTEGER, false, 100, 600000, "3000",                        \
+  { "control.suspicion_ms", KQ_SETTING_INTEGER, false, 100, 600000, "2500",                        \
     "milliseconds that a suspected member has to refute" },                                        \
   { "control.budget_bytes_per_s", KQ_SETTING_INTEGER, false, 1000, 100000000, "21000",             \
     "limit of the bytes a second that control traffic sends" }
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -251,6 +251,7 @@
   self->weight = params->weight;
   memcpy (self->name, params->name, sizeof self->name);
   memcpy (self->failure_domain, params->failure_domain, sizeof self->failure_domain);
+  memcpy (control.service_name, params->service, sizeof control.service_name);
   agent->control = kq_control_new (agent, agent->ev, &control, &ops, agent, error);
   return agent->control == NULL ? -1 : 0;
 }
