A restored store takes nothing back

Cause: after the store was restored to an older state, a plan rested on the old document, and what it wrote had a lower revision than the one in force, so every instance refused it and the change never came into force. Documents carry their epoch now; a plan that finds less in the store than in force starts from what is in force, warns, and writes under the next epoch; the intent restore does that without another change. Taking the epoch from the store's identity was ruled out, because each instance would have to agree on what the former identity was.

--- a/include/kumquat/intent.h
+++ b/include/kumquat/intent.h
@@ -18,6 +18,7 @@
  * @KQ_INTENT_WORTH: an answered request of class @name is worth @value
  * @KQ_INTENT_MOVE: @value percent of the flows leave failure domain @name for the others; at 100 it
  *   is drained
+ * @KQ_INTENT_RESTORE: nothing else; after the store was restored, it gets what is in force again
  * @KQ_INTENT_UNDO: as the service was before its last change
  */
 typedef enum
@@ -31,6 +32,7 @@
   KQ_INTENT_WEIGHT,
   KQ_INTENT_WORTH,
   KQ_INTENT_MOVE,
+  KQ_INTENT_RESTORE,
   KQ_INTENT_UNDO
 } KqIntentKind;
 
--- a/include/kumquat/internal/plan_parts.h
+++ b/include/kumquat/internal/plan_parts.h
@@ -7,12 +7,15 @@
 
 /**
  * struct KqPlanChange - one touched service
- * @base: (nullable) (borrowed): what there was; NULL for a new service
+ * @base: (nullable) (borrowed): what the store holds; NULL when it holds nothing
+ * @before: (nullable) (borrowed): what the plan starts from; NULL for a new service. It is what is
+ * in force when the store holds something older, because it was restored
  * @after: what the plan asks for
  */
 typedef struct
 {
   const KqPlanBase *base;
+  const KqService *before;
   KqService after;
 } KqPlanChange;
 
--- a/include/kumquat/service_document.h
+++ b/include/kumquat/service_document.h
@@ -9,7 +9,7 @@
 /**
  * kq_service_parse - reads a document and checks every field
  * @bytes: (borrowed): the JSON text
- * @revision: version to record in @service
+ * @revision: version to record in @service; the document's own epoch goes before its epoch
  * @service: (out): the configuration
  *
  * Return: 0, or -1 with @error set.
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -68,9 +68,10 @@
           error.kind = KQ_ERROR_NONE;
           continue;
         }
-      KqDocument document = {
-        .service = service.number, .revision = revision, .bytes = value->bytes, .size = value->size
-      };
+      KqDocument document = { .service = service.number,
+                              .revision = service.revision,
+                              .bytes = value->bytes,
+                              .size = value->size };
       kq_control_publish (balancer->control, &document, NULL);
     }
 }
--- a/src/process/ctl_request.c
+++ b/src/process/ctl_request.c
@@ -10,7 +10,7 @@
 #define KEY_BYTES 128
 
 static const char usage[] = "usage: kumquatctl plan create|change SERVICE KEY=VALUE...\n"
-                            "       kumquatctl plan remove|undo SERVICE\n"
+                            "       kumquatctl plan remove|undo|restore SERVICE\n"
                             "       kumquatctl plan drain SERVICE TARGET-OR-DOMAIN [LIMIT_MS]\n"
                             "       kumquatctl plan join SERVICE TARGET-OR-DOMAIN\n"
                             "       kumquatctl plan weight SERVICE TARGET WEIGHT\n"
@@ -29,8 +29,9 @@
 } Shape;
 
 static const Shape shapes[] = {
-  { "create", 1, 64 }, { "change", 1, 64 }, { "remove", 0, 0 }, { "undo", 0, 0 }, { "drain", 1, 2 },
-  { "join", 1, 1 },    { "weight", 2, 2 },  { "worth", 2, 2 },  { "move", 2, 2 },
+  { "create", 1, 64 }, { "change", 1, 64 }, { "remove", 0, 0 }, { "undo", 0, 0 },
+  { "restore", 0, 0 }, { "drain", 1, 2 },   { "join", 1, 1 },   { "weight", 2, 2 },
+  { "worth", 2, 2 },   { "move", 2, 2 },
 };
 
 int
--- a/src/process/operator_status.c
+++ b/src/process/operator_status.c
@@ -177,12 +177,20 @@
   uint32_t number = kq_operator_number (value->key);
   const KqService *known = kq_service_catalog_by_number (api->params.catalog, number);
   json_t *in_force = in_force_json (api, number);
-  json_int_t revision = json_integer_value (json_object_get (in_force, "revision"));
+  KqRevision there_revision = {
+    .epoch = (uint32_t)json_integer_value (json_object_get (in_force, "epoch")),
+    .revision = (uint64_t)json_integer_value (json_object_get (in_force, "revision")),
+  };
+  KqRevision written = { 1, value->mod_revision };
+  KqService service;
+  if (kq_service_parse (value->bytes, value->size, written, &service, NULL) == 0)
+    written = service.revision;
   json_int_t balancers = json_integer_value (json_object_get (in_force, "balancers"));
   json_int_t there = json_integer_value (json_object_get (in_force, "balancers_in_force"));
   json_int_t agents = json_integer_value (json_object_get (in_force, "agents"));
   json_int_t agents_there = json_integer_value (json_object_get (in_force, "agents_in_force"));
-  if (revision < (json_int_t)value->mod_revision || there < balancers || agents_there < agents)
+  if (kq_revision_compare (there_revision, written) < 0 || there < balancers ||
+      agents_there < agents)
     *complete = false;
   return json_pack ("{s:s, s:I, s:I, s:o}", "service", known == NULL ? "?" : known->name, "number",
                     (json_int_t)number, "revision", (json_int_t)value->mod_revision, "in_force",
--- a/src/version/intent.c
+++ b/src/version/intent.c
@@ -222,6 +222,8 @@
       if (move (intent, members, member_count, service, error) < 0)
         return -1;
       break;
+    case KQ_INTENT_RESTORE:
+      break;
     case KQ_INTENT_UNDO:
       return kq_error_set (error, KQ_ERROR_INVALID, "undo is planned, not applied; plan it");
     }
--- a/src/version/intent_json.c
+++ b/src/version/intent_json.c
@@ -15,9 +15,10 @@
 } KindName;
 
 static const KindName kind_names[] = {
-  { "create", KQ_INTENT_CREATE }, { "change", KQ_INTENT_CHANGE }, { "remove", KQ_INTENT_REMOVE },
-  { "drain", KQ_INTENT_DRAIN },   { "join", KQ_INTENT_JOIN },     { "weight", KQ_INTENT_WEIGHT },
-  { "worth", KQ_INTENT_WORTH },   { "move", KQ_INTENT_MOVE },     { "undo", KQ_INTENT_UNDO },
+  { "create", KQ_INTENT_CREATE },   { "change", KQ_INTENT_CHANGE }, { "remove", KQ_INTENT_REMOVE },
+  { "drain", KQ_INTENT_DRAIN },     { "join", KQ_INTENT_JOIN },     { "weight", KQ_INTENT_WEIGHT },
+  { "worth", KQ_INTENT_WORTH },     { "move", KQ_INTENT_MOVE },     { "undo", KQ_INTENT_UNDO },
+  { "restore", KQ_INTENT_RESTORE },
 };
 
 /**
@@ -213,7 +214,7 @@
   return kq_error_set (
       error, KQ_ERROR_INVALID,
       "intent '%.40s' is unknown; use create, change, remove, drain, join, weight, "
-      "worth, move or undo",
+      "worth, move, restore or undo",
       text == NULL ? "" : text);
 }
 
--- a/src/version/plan.c
+++ b/src/version/plan.c
@@ -50,6 +50,29 @@
   return NULL;
 }
 
+static const KqService *
+in_force (const KqPlanInput *input, const KqPlanBase *base, const char *name)
+{
+  for (unsigned i = 0; i < input->other_count; i++)
+    {
+      const KqService *service = input->others[i];
+      if (base != NULL ? service->number == base->service.number
+                       : !service->removed && strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+/* The store was restored to an older state when it holds less than what is in force. What is in
+ * force never goes back: the plan starts from it and writes it under the next epoch. */
+static bool
+is_restored (const KqPlanBase *base, const KqService *live)
+{
+  if (live == NULL)
+    return false;
+  return base == NULL || kq_revision_compare (base->service.revision, live->revision) < 0;
+}
+
 static KqPlanChange *
 add_change (Planner *planner, const KqPlanBase *base, const char *name, KqError *error)
 {
@@ -60,9 +83,16 @@
       return NULL;
     }
   KqPlanChange *change = &planner->changes[planner->count++];
+  const KqService *live = in_force (planner->input, base, name);
   change->base = base;
-  if (base != NULL)
-    change->after = base->service;
+  change->before = base == NULL ? NULL : &base->service;
+  if (is_restored (base, live))
+    change->before = live;
+  if (change->before != NULL)
+    {
+      change->after = *change->before;
+      change->after.revision.epoch += is_restored (base, live) ? 1 : 0;
+    }
   else
     {
       change->after.number = planner->next_number++;
@@ -77,7 +107,12 @@
 {
   KqPlanChange *change = find_change (planner, intent->service);
   const KqPlanBase *base = find_base (planner->input, intent->service);
-  bool exists = change != NULL ? !change->after.removed : base != NULL && !base->service.removed;
+  const KqService *live = in_force (planner->input, base, intent->service);
+  bool exists = base != NULL && !base->service.removed;
+  if (is_restored (base, live))
+    exists = !live->removed;
+  if (change != NULL)
+    exists = !change->after.removed;
   bool creates = intent->kind == KQ_INTENT_CREATE;
   bool any = intent->kind == KQ_INTENT_REPLACE || intent->kind == KQ_INTENT_UNDO;
   if (creates && exists)
@@ -95,7 +130,7 @@
   if (change != NULL)
     return change;
   /* The number of a removed service is never used again. */
-  if (base != NULL && base->service.removed && intent->kind != KQ_INTENT_UNDO)
+  if (base != NULL && base->service.removed && !exists && intent->kind != KQ_INTENT_UNDO)
     base = NULL;
   return add_change (planner, base, intent->service, error);
 }
@@ -104,7 +139,8 @@
 undo (const KqIntent *intent, KqPlanChange *change, KqError *error)
 {
   const KqPlanBase *base = change->base;
-  if (base == NULL)
+  uint32_t epoch = change->after.revision.epoch;
+  if (base == NULL || change->before != &base->service)
     return kq_error_set (error, KQ_ERROR_NOT_FOUND,
                          "service '%s' has no change to undo; see kumquatctl services",
                          intent->service);
@@ -112,6 +148,7 @@
     change->after = base->previous;
   else
     change->after.removed = true;
+  change->after.revision.epoch = epoch;
   return 0;
 }
 
@@ -153,9 +190,11 @@
 static bool
 is_empty (const KqPlanChange *change)
 {
-  if (change->base == NULL)
+  if (change->before == NULL)
     return change->after.removed;
-  json_t *diff = kq_service_diff (&change->base->service, &change->after);
+  if (change->after.revision.epoch != change->before->revision.epoch)
+    return false;
+  json_t *diff = kq_service_diff (change->before, &change->after);
   bool empty = json_array_size (diff) == 0;
   json_decref (diff);
   return empty;
@@ -251,18 +290,25 @@
   char key[KEY_BYTES];
   const KqPlanBase *base = change->base;
   bool revived = base == NULL || (base->service.removed && !change->after.removed);
+  bool moved = !revived && base->service.port != change->after.port;
   if (revived)
     {
       snprintf (key, sizeof key, KQ_STORE_CLAIMS "name/%s", change->after.name);
       add_claim (writes, input, change, key);
     }
-  if (revived || base->service.port != change->after.port)
+  if (revived || moved)
     {
       snprintf (key, sizeof key, KQ_STORE_CLAIMS "port/%u", change->after.port);
       add_claim (writes, input, change, key);
     }
 }
 
+static uint64_t
+base_revision (const KqPlanChange *change)
+{
+  return change->base == NULL ? 0 : change->base->service.revision.revision;
+}
+
 static json_t *
 writes_json (const Planner *planner)
 {
@@ -271,7 +317,7 @@
   for (unsigned i = 0; i < planner->count; i++)
     {
       const KqPlanChange *change = &planner->changes[i];
-      uint64_t expected = change->base == NULL ? 0 : change->base->service.revision.revision;
+      uint64_t expected = base_revision (change);
       snprintf (key, sizeof key, KQ_STORE_SERVICES "%" PRIu32, change->after.number);
       json_t *write =
           write_json (key, kq_plan_document (change, planner->input->operation), expected, change);
@@ -284,6 +330,21 @@
   return writes;
 }
 
+static void
+warn_restored (const Planner *planner, KqPlanNotes *notes)
+{
+  for (unsigned i = 0; i < planner->count; i++)
+    {
+      const KqPlanChange *change = &planner->changes[i];
+      if (change->before != NULL &&
+          (change->base == NULL || change->before != &change->base->service))
+        kq_plan_warn (notes, change->after.name,
+                      "the store was restored to an older state; the plan writes what is in force, "
+                      "with its changes, under epoch %u",
+                      change->after.revision.epoch);
+    }
+}
+
 static json_t *
 changes_json (const Planner *planner)
 {
@@ -291,17 +352,17 @@
   for (unsigned i = 0; i < planner->count; i++)
     {
       const KqPlanChange *change = &planner->changes[i];
-      const KqService *before = change->base == NULL ? NULL : &change->base->service;
+      const KqService *before = change->before;
       const char *what = "change";
       if (before == NULL)
         what = "create";
       else if (change->after.removed && !before->removed)
         what = "remove";
-      json_array_append_new (
-          list, json_pack ("{s:s, s:I, s:I, s:s, s:o}", "service", change->after.name, "number",
-                           (json_int_t)change->after.number, "base_revision",
-                           (json_int_t)(before == NULL ? 0 : before->revision.revision), "what",
-                           what, "fields", kq_service_diff (before, &change->after)));
+      json_array_append_new (list,
+                             json_pack ("{s:s, s:I, s:I, s:s, s:o}", "service", change->after.name,
+                                        "number", (json_int_t)change->after.number, "base_revision",
+                                        (json_int_t)base_revision (change), "what", what, "fields",
+                                        kq_service_diff (before, &change->after)));
     }
   return list;
 }
@@ -315,6 +376,7 @@
   for (unsigned i = 0; i < planner->count; i++)
     json_array_append_new (effects, kq_plan_effects (planner->input, &planner->changes[i], &notes));
   check_ports (planner, &notes);
+  warn_restored (planner, &notes);
   bool refused = json_array_size (notes.refusals) > 0;
   json_t *root =
       json_pack ("{s:i, s:s, s:o, s:o, s:o, s:o, s:o}", "format", PLAN_FORMAT, "operation",
--- a/src/version/plan_document.c
+++ b/src/version/plan_document.c
@@ -28,9 +28,10 @@
 {
   json_t *root = kq_service_to_json (&change->after);
   json_t *operations = json_pack ("[s]", operation);
+  if (change->before != NULL)
+    json_object_set_new (root, "previous", kq_service_to_json (change->before));
   if (change->base != NULL)
     {
-      json_object_set_new (root, "previous", kq_service_to_json (&change->base->service));
       for (unsigned i = 0; i < change->base->operation_count && i < KQ_OPERATIONS_KEPT - 1; i++)
         json_array_append_new (operations, json_string (change->base->operations[i]));
     }
@@ -80,7 +81,7 @@
                     KqError *error)
 {
   memset (base, 0, sizeof *base);
-  KqRevision revision = { .revision = mod_revision };
+  KqRevision revision = { .epoch = 1, .revision = mod_revision };
   if (kq_service_parse (bytes, size, revision, &base->service, error) < 0)
     return -1;
   json_t *root = json_loadb ((const char *)bytes, size, 0, NULL);
--- a/src/version/plan_effects.c
+++ b/src/version/plan_effects.c
@@ -124,7 +124,7 @@
     {
       const KqMember *target = &after->targets[i];
       const KqTargetWork *work = work_of (input, target->name);
-      bool took = change->base != NULL && takes_flows (&change->base->service, target);
+      bool took = change->before != NULL && takes_flows (change->before, target);
       json_t *item =
           json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i}", "name", target->name, "failure_domain",
                      target->failure_domain, "effect",
@@ -170,7 +170,7 @@
                KqPlanNotes *notes)
 {
   static const KqService none = { .removed = true };
-  const KqService *old_service = change->base == NULL ? &none : &change->base->service;
+  const KqService *old_service = change->before == NULL ? &none : change->before;
   json_t *list = json_array ();
   for (unsigned i = 0; i < after->count; i++)
     {
@@ -226,7 +226,7 @@
 static void
 check_open_flows (const KqPlanChange *change, const Totals *totals, KqPlanNotes *notes)
 {
-  const KqService *before = &change->base->service;
+  const KqService *before = change->before;
   const KqService *after = &change->after;
   if (totals->flows == 0 && totals->unknown == 0)
     return;
@@ -248,7 +248,7 @@
                 const Totals *totals, KqPlanNotes *notes)
 {
   const KqService *service = &change->after;
-  unsigned old_slots = slots_in (before, &change->base->service, NULL);
+  unsigned old_slots = slots_in (before, change->before, NULL);
   unsigned new_slots = slots_in (after, service, NULL);
   if (service->removed)
     return;
@@ -280,7 +280,7 @@
     {
       const KqMember *target = &after->targets[i];
       const KqTargetWork *work = work_of (input, target->name);
-      if (!takes_flows (&change->base->service, target) || takes_flows (&change->after, target) ||
+      if (!takes_flows (change->before, target) || takes_flows (&change->after, target) ||
           change->after.removed)
         continue;
       uint32_t limit_ms = kq_service_drain_limit_ms (&change->after, target);
@@ -320,13 +320,12 @@
   Side *before = talloc_zero (scratch, Side);
   Side *after = talloc_zero (scratch, Side);
   int64_t drain_ms = 0;
-  if (change->base != NULL)
-    fill_side (scratch, input, NULL, &change->base->service, before);
-  fill_side (scratch, input, change->base == NULL ? NULL : &change->base->service, &change->after,
-             after);
+  if (change->before != NULL)
+    fill_side (scratch, input, NULL, change->before, before);
+  fill_side (scratch, input, change->before == NULL ? NULL : change->before, &change->after, after);
   Totals totals = total_work (input, after);
   unsigned moved = count_moved (before, after);
-  if (change->base != NULL)
+  if (change->before != NULL)
     {
       check_open_flows (change, &totals, notes);
       check_capacity (change, before, after, &totals, notes);
--- a/src/version/service_document.c
+++ b/src/version/service_document.c
@@ -156,6 +156,8 @@
   service->slo_permille = read_integer (reader, "slo_permille", UINT32_MAX);
   service->slo_latency_ms = read_integer (reader, "slo_latency_ms", UINT32_MAX);
   service->removed = read_boolean (reader, "removed");
+  if (json_object_get (reader->object, "epoch") != NULL)
+    service->revision.epoch = read_integer (reader, "epoch", UINT32_MAX);
   read_denied (reader, service);
   read_weights (reader, service);
   read_worths (reader, service);
@@ -218,15 +220,17 @@
 json_t *
 kq_service_to_json (const KqService *service)
 {
+  uint32_t epoch = service->revision.epoch == 0 ? 1 : service->revision.epoch;
   return json_pack (
-      "{s:i, s:I, s:s, s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:o, s:o, s:o}", "format",
-      DOCUMENT_FORMAT, "number", (json_int_t)service->number, "name", service->name, "protocol",
-      service->protocol == KQ_PROTOCOL_COAP ? "coap" : "udp", "port", (int)service->port, "slots",
-      (json_int_t)service->slots, "connections", (json_int_t)service->connections, "deadline_ms",
-      (json_int_t)service->deadline_ms, "drain_limit_ms", (json_int_t)service->drain_limit_ms,
-      "slo_permille", (json_int_t)service->slo_permille, "slo_latency_ms",
-      (json_int_t)service->slo_latency_ms, "removed", service->removed, "denied",
-      denied_json (service), "weights", weights_json (service), "worth", worths_json (service));
+      "{s:i, s:I, s:I, s:s, s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:o, s:o, s:o}", "format",
+      DOCUMENT_FORMAT, "epoch", (json_int_t)epoch, "number", (json_int_t)service->number, "name",
+      service->name, "protocol", service->protocol == KQ_PROTOCOL_COAP ? "coap" : "udp", "port",
+      (int)service->port, "slots", (json_int_t)service->slots, "connections",
+      (json_int_t)service->connections, "deadline_ms", (json_int_t)service->deadline_ms,
+      "drain_limit_ms", (json_int_t)service->drain_limit_ms, "slo_permille",
+      (json_int_t)service->slo_permille, "slo_latency_ms", (json_int_t)service->slo_latency_ms,
+      "removed", service->removed, "denied", denied_json (service), "weights",
+      weights_json (service), "worth", worths_json (service));
 }
 
 char *
--- a/tests/integration/operators.py
+++ b/tests/integration/operators.py
@@ -67,6 +67,12 @@
             report = json.loads(ctl(cluster, "report", "--json"))
             return report["services"][0]["answered"] > 0 and not report["silent_agents"]
         wait_for("answered requests in the report", answered, 15)
+        cluster.store_fault("snapshot")
+        seconds.append(confirm(cluster, "worth", "scoring", "mark", "20"))
+        cluster.store_fault("restore")
+        seconds.append(confirm(cluster, "restore", "scoring"))
+        service = json.loads(ctl(cluster, "services", "--json"))["services"][0]
+        print("after the store was restored: epoch", service["epoch"], "worth", service["worth"])
         print("the report counts answered requests of every agent")
         print("in force within", IN_FORCE_S, "s:", all(s <= IN_FORCE_S for s in seconds))
         print(f"in force after {max(seconds):.2f} s at most", file=sys.stderr)
--- a/tests/unit/test_operator_api.c
+++ b/tests/unit/test_operator_api.c
@@ -267,6 +267,36 @@
   tear_down ();
 }
 
+static void
+test_restored_store_does_not_take_back_what_is_in_force (void)
+{
+  set_up (NULL);
+  create_scoring ();
+  store_server_admin (server, "snapshot", 1);
+  post ("/v1/confirm", plan (DRAIN));
+  Answer answer = get ("/v1/services");
+  while (!says (&answer, 200, "\"name\":\"bole\""))
+    answer = get ("/v1/services");
+  store_server_admin (server, "restore", 1);
+  char *text = plan (WORTH);
+  CU_ASSERT (strstr (text, "the store was restored to an older state") != NULL);
+  answer = post ("/v1/confirm", text);
+  CU_ASSERT (says (&answer, 200, "\"outcome\":\"yes\""));
+  while (!says (&answer, 200, "\"worth\":{\"marks\":9}"))
+    answer = get ("/v1/services");
+  CU_ASSERT (says (&answer, 200, "\"epoch\":2"));
+  CU_ASSERT (says (&answer, 200, "\"name\":\"bole\""));
+  /* A second restore, with nothing else to change. */
+  store_server_admin (server, "restore", 1);
+  answer =
+      post ("/v1/confirm", plan ("{\"intents\":[{\"kind\":\"restore\",\"service\":\"scoring\"}]}"));
+  CU_ASSERT (says (&answer, 200, "\"outcome\":\"yes\""));
+  while (!says (&answer, 200, "\"epoch\":3"))
+    answer = get ("/v1/services");
+  CU_ASSERT (says (&answer, 200, "\"worth\":{\"marks\":9}"));
+  tear_down ();
+}
+
 static void
 test_wrong_key_is_counted_and_refused (void)
 {
@@ -331,6 +361,8 @@
     { "lost answer is found out by reading", test_lost_answer_is_found_out_by_reading },
     { "silent store is not known yet", test_silent_store_is_not_known_yet },
     { "store down is no", test_store_down_is_no },
+    { "restored store does not take back what is in force",
+      test_restored_store_does_not_take_back_what_is_in_force },
     { "wrong key is counted and refused", test_wrong_key_is_counted_and_refused },
     { "bad requests are typed errors", test_bad_requests_are_typed_errors },
     { "report adds up", test_report_adds_up },
