--- a/include/kumquat/service_document.h
+++ b/include/kumquat/service_document.h
@@ -10,8 +10,7 @@
 /**
  * kq_service_parse - reads a document and checks every field
  * @bytes: (borrowed): the JSON text
- * @revision: version to record in @service; its epoch is KQ_EPOCH_FIRST, which an epoch in the
- *   document replaces
+ * @revision: version to record in @service; the document's own epoch goes before its epoch
  * @service: (out): the configuration
  *
  * Return: 0, or -1 with @error set.
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -67,9 +67,10 @@
           error.kind = KQ_ERROR_NONE;
           continue;
         }
-      KqDocument document = {
-        .service = service.number, .revision = revision, .bytes = value->bytes, .size = value->size
-      };
+      KqDocument document = { .service = service.number,
+                              .revision = service.revision,
+                              .bytes = value->bytes,
+                              .size = value->size };
       kq_control_publish (balancer->control, &document, NULL);
     }
 }
@@ -117,6 +118,7 @@
           service.name, service.number, service.revision.epoch,
           (unsigned long long)service.revision.revision);
   update_routes (balancer);
+  kq_control_set_phase (balancer->control, KQ_PHASE_SERVING);
 }
 
 static void
@@ -175,7 +177,7 @@
   self->peer.data = params->data;
   self->role = KQ_ROLE_BALANCER;
   self->state = KQ_MEMBER_ALIVE;
-  self->phase = KQ_PHASE_SERVING;
+  self->phase = KQ_PHASE_STARTING;
   memcpy (self->name, params->name, sizeof self->name);
   memcpy (self->failure_domain, params->failure_domain, sizeof self->failure_domain);
   balancer->control = kq_control_new (balancer, balancer->ev, &control, &ops, balancer, error);
--- a/src/version/plan_document.c
+++ b/src/version/plan_document.c
@@ -28,9 +28,10 @@
 {
   json_t *root = kq_service_to_json (&change->after);
   json_t *operations = json_pack ("[s]", operation);
+  if (change->before != NULL)
+    json_object_set_new (root, "previous", kq_service_to_json (change->before));
   if (change->base != NULL)
     {
-      json_object_set_new (root, "previous", kq_service_to_json (&change->base->service));
       for (unsigned i = 0; i < change->base->operation_count && i < KQ_OPERATIONS_KEPT - 1; i++)
         json_array_append_new (operations, json_string (change->base->operations[i]));
     }
