--- a/src/connection/placement_sync.c
+++ b/src/connection/placement_sync.c
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include "kumquat/internal/placement_state.h"
+#include "kumquat/internal/test_switch.h"
 
 #define REQUEST_TIMEOUT (20 * KQ_MS)
 #define BACKOFF_MAX     6               /* doublings of the timeout at most, 1.28 s */
@@ -48,6 +49,8 @@
 add_peer (KqPlacement *placement, const KqPeer *peer, KqTime now)
 {
   KqSyncRound *round = &placement->round;
+  if (kq_test_switched_off ("handover"))
+    return 0;
   if (peer->id == placement->params.self.id || kq_placement_is_gone (placement, peer))
     return 0;
   KqSyncPeer *found = find_peer (round, peer->id);
--- a/src/version/config_spread.c
+++ b/src/version/config_spread.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 
 #include "kumquat/internal/config_spread.h"
+#include "kumquat/internal/test_switch.h"
 
 struct KqConfigSpread
 {
@@ -152,7 +153,8 @@
   int order = kq_revision_compare (document->revision, entry->held);
   if (order == 0 && entry->bytes != NULL)
     return refuse_same_revision (entry, document, error);
-  if (order < 0 || kq_revision_compare (document->revision, entry->known) < 0)
+  bool older = order < 0 || kq_revision_compare (document->revision, entry->known) < 0;
+  if (older && !kq_test_switched_off ("revision"))
     return kq_error_set (error, KQ_ERROR_STALE,
                          "service %u: revision %llu of epoch %u is older than revision %llu of "
                          "epoch %u in force; if the store was restored, confirm a new epoch",
--- a/src/version/view.c
+++ b/src/version/view.c
@@ -1,6 +1,7 @@
 #include <ctype.h>
 #include <string.h>
 
+#include "kumquat/internal/test_switch.h"
 #include "kumquat/view.h"
 
 static int
@@ -19,7 +20,7 @@
 bool
 kq_service_admits (const KqService *service, const KqMember *target)
 {
-  return denied_index (service, target) < 0;
+  return denied_index (service, target) < 0 || kq_test_switched_off ("drain");
 }
 
 unsigned
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -44,9 +44,9 @@
 
 def start(cluster, clock):
     cluster.start_store()
-    cluster.create_services(TARGETS)
     for number in (1, 2, 3):
         cluster.start_balancer(number, wait=False)
+    cluster.create_services(TARGETS)
     for service, count in TARGETS.items():
         for index in range(1, count + 1):
             cluster.start_target(service, index)
@@ -76,7 +76,7 @@
     time.sleep(0.5)
     cluster.processes["fabric"].line(f"remove {cluster.ip(1, 3)}")
     at(11)
-    cluster.confirm("set", "utleie", "slots=6")
+    cluster.confirm("change", "utleie", "slots=6")
     clock.say("confirmed: utleie has 6 slots")
     at(TRAFFIC_S)
 
