--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -6,12 +6,12 @@
 
 #include "kumquat/internal/balancer_impl.h"
 #include "kumquat/internal/clock.h"
+#include "kumquat/internal/program_parts.h"
 #include "kumquat/log.h"
 #include "kumquat/service_document.h"
 
 #define TICK_MS           20
 #define FLOW_TABLE_SHARDS 64
-#define CONFIG_EPOCH      1
 
 static void
 swap_routes (KqForwarder *forwarder, KqRoutes *fresh)
@@ -58,7 +58,7 @@
   for (unsigned i = 0; i < reply->count; i++)
     {
       const KqStoreValue *value = &reply->values[i];
-      KqRevision revision = { CONFIG_EPOCH, value->mod_revision };
+      KqRevision revision = { KQ_EPOCH_FIRST, value->mod_revision };
       KqService service;
       if (kq_service_parse (value->bytes, value->size, revision, &service, &error) < 0)
         {
@@ -237,3 +237,26 @@
   update_watch (balancer);
   kq_control_leave (balancer->control);
 }
+
+static bool
+needs_restart (const KqBalancerParams *old, const KqBalancerParams *new)
+{
+  return strcmp (old->name, new->name) != 0 ||
+         strcmp (old->failure_domain, new->failure_domain) != 0 ||
+         !kq_address_equal (&old->data, &new->data) ||
+         !kq_address_equal (&old->control.self.control, &new->control.self.control) ||
+         !kq_address_equal (&old->http, &new->http) || old->workers != new->workers ||
+         old->flows_max != new->flows_max || old->flow_idle_us != new->flow_idle_us;
+}
+
+void
+kq_balancer_reload (KqBalancer *balancer, const KqBalancerParams *params)
+{
+  KqBalancerParams *own = &balancer->params;
+  if (needs_restart (own, params))
+    kq_log (LOG_WARNING, "settings-need-restart", "instance=%s", own->name);
+  own->linger_us = params->linger_us;
+  memcpy (own->operator_key, params->operator_key, sizeof own->operator_key);
+  memcpy (own->operator_key_old, params->operator_key_old, sizeof own->operator_key_old);
+  kq_program_set_control_keys (balancer->control, &params->control);
+}
