--- a/tests/unit/test_return_path.c
+++ b/tests/unit/test_return_path.c
@@ -6,7 +6,9 @@
 static KqMember
 balancer (unsigned number)
 {
-  KqMember member = { .role = KQ_ROLE_BALANCER, .state = KQ_MEMBER_ALIVE };
+  KqMember member = { .role = KQ_ROLE_BALANCER,
+                      .state = KQ_MEMBER_ALIVE,
+                      .phase = KQ_PHASE_SERVING };
   member.peer.data.ip[15] = (uint8_t)number;
   member.peer.data.ip[14] = (uint8_t)(number >> 8);
   member.peer.data.port = 6000;
@@ -64,6 +66,19 @@
   CU_ASSERT (kq_address_equal (chosen, &members[0].peer.data));
 }
 
+static void
+test_starting_balancer_is_avoided (void)
+{
+  static KqReturnPaths paths;
+  KqRandom random;
+  KqMember members[2] = { balancer (1), balancer (2) };
+  kq_random_seed (&random, 5);
+  members[0].phase = KQ_PHASE_STARTING;
+  kq_return_paths_update (&paths, members, 2);
+  const KqAddress *chosen = kq_return_paths_choose (&paths, &members[0].peer.data, &random);
+  CU_ASSERT (kq_address_equal (chosen, &members[1].peer.data));
+}
+
 static void
 test_without_live_balancer_the_request_s_own_is_used (void)
 {
@@ -96,6 +111,7 @@
     { "unknown balancer is new, not dead", test_unknown_balancer_is_new_not_dead },
     { "dead balancer is replaced", test_dead_balancer_is_replaced_by_a_live_one },
     { "suspect balancer is avoided", test_suspect_balancer_is_avoided_and_taken_back },
+    { "starting balancer is avoided", test_starting_balancer_is_avoided },
     { "without a live balancer", test_without_live_balancer_the_request_s_own_is_used },
     { "table stays bounded", test_table_stays_bounded_under_replacement },
   };
