--- a/src/process/control_bulk.c
+++ b/src/process/control_bulk.c
@@ -171,6 +171,9 @@
 {
   LIST_REMOVE (exchange, link);
   exchange->bulk->exchange_count--;
+  /* The event goes first: ZeroMQ closes the descriptor in another thread, and its number may
+   * already belong to another socket, whose event would be removed instead. */
+  talloc_free_children (exchange);
   zmq_close (exchange->socket);
   return 0;
 }
