Admit without asking below a load of 800

Cause: the choice of target was measured with a threshold of 800; the setting said 600. Ruled out: nothing else. Conclusion: the programs run what was measured.

--- a/src/process/agent_settings.c
+++ b/src/process/agent_settings.c
@@ -22,7 +22,7 @@
     "the target promises that a request which it answers with 5.03 did not run" },
   { "flows.idle_s", KQ_SETTING_INTEGER, false, 5, 86400, "120",
     "seconds without a datagram after which a flow is closed" },
-  { "flows.admit_load_permille", KQ_SETTING_INTEGER, false, 0, 100000, "600",
+  { "flows.admit_load_permille", KQ_SETTING_INTEGER, false, 0, 100000, "800",
     "load per thousand slots below which a new flow stays without asking other targets" },
   { "requests.queue_max", KQ_SETTING_INTEGER, false, 0, 1000, "64",
     "requests that wait for a slot" },
