--- a/include/kumquat/internal/return_path.h
+++ b/include/kumquat/internal/return_path.h
@@ -9,7 +9,8 @@
 /**
  * struct KqReturnPaths - the balancers this process has seen
  * @addresses: (array): their data addresses
- * @alive: (array): whether membership has them now
+ * @alive: (array): whether membership has them now as alive and serving: one that starts without
+ * the services' configuration drops answers
  * @count: length of both
  */
 typedef struct
--- a/src/connection/return_path.c
+++ b/src/connection/return_path.c
@@ -36,7 +36,8 @@
       if (place < 0)
         return;
       paths->addresses[place] = members[i].peer.data;
-      paths->alive[place] = members[i].state == KQ_MEMBER_ALIVE;
+      paths->alive[place] =
+          members[i].state == KQ_MEMBER_ALIVE && members[i].phase == KQ_PHASE_SERVING;
     }
 }
 
--- a/src/version/service_document.c
+++ b/src/version/service_document.c
@@ -220,18 +220,17 @@
 json_t *
 kq_service_to_json (const KqService *service)
 {
-  json_t *root = json_pack (
-      "{s:i, s:I, s:s, s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:o, s:o, s:o}", "format",
-      DOCUMENT_FORMAT, "number", (json_int_t)service->number, "name", service->name, "protocol",
-      service->protocol == KQ_PROTOCOL_COAP ? "coap" : "udp", "port", (int)service->port, "slots",
-      (json_int_t)service->slots, "connections", (json_int_t)service->connections, "deadline_ms",
-      (json_int_t)service->deadline_ms, "drain_limit_ms", (json_int_t)service->drain_limit_ms,
-      "slo_permille", (json_int_t)service->slo_permille, "slo_latency_ms",
-      (json_int_t)service->slo_latency_ms, "removed", service->removed, "denied",
-      denied_json (service), "weights", weights_json (service), "worth", worths_json (service));
-  if (service->revision.epoch > KQ_EPOCH_FIRST)
-    json_object_set_new (root, "epoch", json_integer (service->revision.epoch));
-  return root;
+  uint32_t epoch = service->revision.epoch == 0 ? KQ_EPOCH_FIRST : service->revision.epoch;
+  return json_pack (
+      "{s:i, s:I, s:I, s:s, s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:o, s:o, s:o}", "format",
+      DOCUMENT_FORMAT, "epoch", (json_int_t)epoch, "number", (json_int_t)service->number, "name",
+      service->name, "protocol", service->protocol == KQ_PROTOCOL_COAP ? "coap" : "udp", "port",
+      (int)service->port, "slots", (json_int_t)service->slots, "connections",
+      (json_int_t)service->connections, "deadline_ms", (json_int_t)service->deadline_ms,
+      "drain_limit_ms", (json_int_t)service->drain_limit_ms, "slo_permille",
+      (json_int_t)service->slo_permille, "slo_latency_ms", (json_int_t)service->slo_latency_ms,
+      "removed", service->removed, "denied", denied_json (service), "weights",
+      weights_json (service), "worth", worths_json (service));
 }
 
 char *
