--- a/include/kumquat/internal/store_client.h
+++ b/include/kumquat/internal/store_client.h
@@ -36,9 +36,9 @@
 };
 
 /** kq_store_read_range - reads like kq_store_read(), page by page at one store revision; freeing
- * the result cancels it. Return: (owned by @store) */
-void *kq_store_read_range (KqStore *store, const char *prefix, uint64_t min_mod_revision,
-                           KqStoreDone done, void *data);
+ * the result cancels it. Return: (owned by @parent, which lives no longer than @store) the read */
+void *kq_store_read_range (const void *parent, KqStore *store, const char *prefix,
+                           uint64_t min_mod_revision, KqStoreDone done, void *data);
 
 /** kq_store_failed - notes a failed call: the next one uses another endpoint */
 void kq_store_failed (KqStore *store);
--- a/src/process/store.c
+++ b/src/process/store.c
@@ -175,10 +175,10 @@
 }
 
 void *
-kq_store_read_range (KqStore *store, const char *prefix, uint64_t min_mod_revision,
-                     KqStoreDone done, void *data)
+kq_store_read_range (const void *parent, KqStore *store, const char *prefix,
+                     uint64_t min_mod_revision, KqStoreDone done, void *data)
 {
-  Read *read = talloc_zero (store, Read);
+  Read *read = talloc_zero (parent, Read);
   read->store = store;
   read->prefix = talloc_strdup (read, prefix);
   read->min_mod_revision = min_mod_revision;
@@ -192,7 +192,7 @@
 void
 kq_store_read (KqStore *store, const char *prefix, KqStoreDone done, void *data)
 {
-  kq_store_read_range (store, prefix, 0, done, data);
+  kq_store_read_range (store, store, prefix, 0, done, data);
 }
 
 /**
--- a/src/process/store_watch.c
+++ b/src/process/store_watch.c
@@ -243,7 +243,7 @@
 {
   TALLOC_FREE (watch->timer);
   TALLOC_FREE (watch->read);
-  watch->read = kq_store_read_range (watch->store, watch->prefix, 0, on_whole_read, watch);
+  watch->read = kq_store_read_range (watch, watch->store, watch->prefix, 0, on_whole_read, watch);
 }
 
 static bool
@@ -295,15 +295,14 @@
   if (watch->known == 0)
     read_whole (watch);
   else
-    watch->read =
-        kq_store_read_range (watch->store, watch->prefix, watch->known + 1, on_check_read, watch);
+    watch->read = kq_store_read_range (watch, watch->store, watch->prefix, watch->known + 1,
+                                       on_check_read, watch);
 }
 
 static int
 destroy (KqStoreWatch *watch)
 {
   close_stream (watch);
-  TALLOC_FREE (watch->read);
   return 0;
 }
 
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -333,6 +333,16 @@
   tear_down ();
 }
 
+static void
+test_frees_while_the_watch_reads (void)
+{
+  Got got = { 0 };
+  set_up ();
+  kq_store_watch (store, prefix, on_reply, &got);
+  tear_down ();
+  CU_ASSERT (got.calls == 0);
+}
+
 static void
 test_frees_with_calls_in_progress (void)
 {
@@ -363,6 +373,7 @@
     { "restored store is told by its identity", test_restored_store_is_told_by_its_identity },
     { "outage is told once", test_outage_is_told_once },
     { "deaf watch is found", test_deaf_watch_is_found },
+    { "frees while the watch reads", test_frees_while_the_watch_reads },
     { "frees with calls in progress", test_frees_with_calls_in_progress },
   };
   return kq_unit_run ("store", tests, sizeof tests / sizeof tests[0]);
