A refutation renews the instance's own record also when its id was not set

Cause: a refutation applied the settings' description, whose id the caller may leave 0; it was inserted as another member and the own record stayed suspected. Under load test_control showed it: one instance listed itself twice and the others lost it. Change: the group sets the id from the name at its start. Ruled out: ZeroMQ and lost datagrams, since the failing instance's counters went on.

--- a/src/version/group.c
+++ b/src/version/group.c
@@ -41,6 +41,7 @@
   group->last_answer = now;
   group->announced_at = now;
   group->self = kq_hash_name (params->self.name);
+  group->params.self.peer.id = group->self;
   kq_random_seed (&group->random, params->random_seed ^ group->self);
   group->sequence = kq_random_next (&group->random) >> 32;
   group->members = kq_members_new (group, pool);
