The stated limit of a drain is enforced

Cause: a plan said how many flows a drain limit would cut, but no agent closed them, so plan and how-to promised more than happened. Ruled out: cutting at the balancers, which do not know who holds a flow. Without the change the event does not exist. Conclusion: the plan's limit is what happens.

--- a/include/kumquat/internal/agent_impl.h
+++ b/include/kumquat/internal/agent_impl.h
@@ -33,6 +33,7 @@
  * @life: talloc parent of what one incarnation believes: @placement, @guard and @flows; NULL before
  *   the service is known
  * @announced_at: when this agent first announced its service
+ * @draining_since: when the phase became draining
  * @current_via: balancer of the datagram that is handled now, for refusals of flows not held
  */
 struct KqAgent
@@ -59,6 +60,7 @@
   KqAgentCounters counters;
   KqTargetPhase phase;
   KqTime announced_at;
+  KqTime draining_since;
   bool shutting_down;
   bool left;
   KqTime shutdown_at;
--- a/include/kumquat/placement.h
+++ b/include/kumquat/placement.h
@@ -126,6 +126,9 @@
 /** kq_placement_close - ends a flow that the target has finished with */
 void kq_placement_close (KqPlacement *placement, const KqFlowKey *key, KqTime now);
 
+/** kq_placement_close_all - ends every flow that the target holds; Return: how many */
+unsigned kq_placement_close_all (KqPlacement *placement, KqTime now);
+
 /** kq_placement_set_draining - admits no new flow while draining; open flows and the directory stay
  */
 void kq_placement_set_draining (KqPlacement *placement, bool draining, KqTime now);
--- a/src/connection/placement.c
+++ b/src/connection/placement.c
@@ -300,6 +300,23 @@
     placement->ops.closed (key, placement->data);
 }
 
+static void
+flow_cut (const KqFlowKey *key, void *data)
+{
+  KqPlacement *placement = data;
+  placement->ops.closed (key, placement->data);
+}
+
+unsigned
+kq_placement_close_all (KqPlacement *placement, KqTime now)
+{
+  unsigned closed = 0;
+  while (kq_flow_shard_count (placement->flows) > 0)
+    closed += kq_flow_shard_expire (placement->flows, now, INT64_MIN, SLOTS_PER_TICK, flow_cut,
+                                    placement);
+  return closed;
+}
+
 void
 kq_placement_set_draining (KqPlacement *placement, bool draining, KqTime now)
 {
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -77,6 +77,8 @@
   kq_log (LOG_NOTICE, "phase-changed", "from=%s to=%s", phase_name (agent->phase),
           phase_name (phase));
   agent->phase = phase;
+  if (phase == KQ_PHASE_DRAINING)
+    agent->draining_since = kq_clock_now ();
   if (agent->guard != NULL && phase == KQ_PHASE_DRAINING)
     kq_request_guard_drain (agent->guard, kq_clock_now ());
   if (agent->placement != NULL)
@@ -194,6 +196,21 @@
     }
 }
 
+/* The limit of a drain is part of the plan that was confirmed; the plan named the flows it cuts. */
+static void
+enforce_drain_limit (KqAgent *agent, KqTime now)
+{
+  KqMember self = own_member (agent);
+  if (agent->phase != KQ_PHASE_DRAINING || kq_service_admits (&agent->service, &self))
+    return;
+  KqTime limit = kq_service_drain_limit_ms (&agent->service, &self) * KQ_MS;
+  if (limit == 0 || now - agent->draining_since < limit)
+    return;
+  unsigned cut = kq_placement_close_all (agent->placement, now);
+  if (cut > 0)
+    kq_log (LOG_WARNING, "drain-limit-reached", "flows_cut=%u", cut);
+}
+
 static void
 sample_burn (KqAgent *agent, KqTime now)
 {
@@ -215,6 +232,7 @@
     {
       kq_placement_tick (agent->placement, now);
       kq_request_guard_tick (agent->guard, now);
+      enforce_drain_limit (agent, now);
       sample_burn (agent, now);
     }
   if (agent->phase == KQ_PHASE_STARTING)
--- a/tests/integration/operators.py
+++ b/tests/integration/operators.py
@@ -74,6 +74,11 @@
         service = json.loads(ctl(cluster, "services", "--json"))["services"][0]
         print("after the store was restored: epoch", service["epoch"], "worth", service["worth"])
         print("the report counts answered requests of every agent")
+        busiest = max(targets(cluster).values(), key=lambda t: t["flows"] or 0)["name"]
+        ctl(cluster, "plan", "drain", "scoring", busiest, "4000", "--out", "limited.plan")
+        ctl(cluster, "confirm", "limited.plan")
+        cluster.processes[busiest].wait_log("event=drain-limit-reached")
+        print("a drain with a limit closed the flows that were left")
         print("in force within", IN_FORCE_S, "s:", all(s <= IN_FORCE_S for s in seconds))
         print(f"in force after {max(seconds):.2f} s at most", file=sys.stderr)
         cluster.end_callers()
