--- a/bench/decisions_state.c
+++ b/bench/decisions_state.c
@@ -205,7 +205,8 @@
   KqPlacementMessage message = { .type = KQ_MESSAGE_SYNC_ANSWER,
                                  .flow_count = KQ_MESSAGE_FLOWS_MAX };
   uint8_t page[KQ_MESSAGE_BYTES];
-  double share = kq_placement_message_encode (&message, page, sizeof page) / KQ_MESSAGE_FLOWS_MAX;
+  int size = kq_placement_message_encode (&message, page, sizeof page);
+  double share = (double)size / KQ_MESSAGE_FLOWS_MAX;
   printf ("\n  agent: %.0f bytes an open flow, %.0f bytes a flow told to a new home\n", bytes,
           share);
   measured_write (file, "agent_bytes_per_flow", bytes, "B");
--- a/include/kumquat/internal/program_parts.h
+++ b/include/kumquat/internal/program_parts.h
@@ -35,6 +35,11 @@
 /** kq_program_control_params - fills @params but for its self */
 void kq_program_control_params (const KqSettings *settings, KqControlParams *params);
 
+/** kq_program_fill_self - fills what a process announces of itself at its start, with an
+ * incarnation that is newer than those of its earlier lives */
+void kq_program_fill_self (KqMember *self, KqRole role, const char *name,
+                           const char *failure_domain, const KqAddress *data);
+
 /** kq_program_check_control - Return: 0, or -1 with @error set */
 int kq_program_check_control (const KqSettings *settings, const char *path, KqError *error);
 
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -259,16 +259,9 @@
                                     .woke = woke };
   const KqAgentParams *params = &agent->params;
   KqControlParams control = params->control;
-  KqMember *self = &control.self;
-  self->peer.id = kq_hash_name (params->name);
-  self->peer.incarnation = kq_clock_wall_us ();
-  self->peer.data = params->data;
-  self->role = KQ_ROLE_AGENT;
-  self->state = KQ_MEMBER_ALIVE;
-  self->phase = KQ_PHASE_STARTING;
-  self->weight = params->weight;
-  memcpy (self->name, params->name, sizeof self->name);
-  memcpy (self->failure_domain, params->failure_domain, sizeof self->failure_domain);
+  kq_program_fill_self (&control.self, KQ_ROLE_AGENT, params->name, params->failure_domain,
+                        &params->data);
+  control.self.weight = params->weight;
   memcpy (control.service_name, params->service, sizeof control.service_name);
   agent->control = kq_control_new (agent, agent->ev, &control, &ops, agent, error);
   return agent->control == NULL ? -1 : 0;
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -171,15 +171,8 @@
                                     .woke = woke };
   const KqBalancerParams *params = &balancer->params;
   KqControlParams control = params->control;
-  KqMember *self = &control.self;
-  self->peer.id = kq_hash_name (params->name);
-  self->peer.incarnation = kq_clock_wall_us ();
-  self->peer.data = params->data;
-  self->role = KQ_ROLE_BALANCER;
-  self->state = KQ_MEMBER_ALIVE;
-  self->phase = KQ_PHASE_STARTING;
-  memcpy (self->name, params->name, sizeof self->name);
-  memcpy (self->failure_domain, params->failure_domain, sizeof self->failure_domain);
+  kq_program_fill_self (&control.self, KQ_ROLE_BALANCER, params->name, params->failure_domain,
+                        &params->data);
   balancer->control = kq_control_new (balancer, balancer->ev, &control, &ops, balancer, error);
   return balancer->control == NULL ? -1 : 0;
 }
--- a/src/process/program_parts.c
+++ b/src/process/program_parts.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "kumquat/internal/clock.h"
 #include "kumquat/internal/program_parts.h"
 
 int
@@ -19,6 +20,20 @@
   snprintf (out, KQ_NAME_BYTES, "%s", name);
 }
 
+void
+kq_program_fill_self (KqMember *self, KqRole role, const char *name, const char *failure_domain,
+                      const KqAddress *data)
+{
+  self->peer.id = kq_hash_name (name);
+  self->peer.incarnation = kq_clock_wall_us ();
+  self->peer.data = *data;
+  self->role = role;
+  self->state = KQ_MEMBER_ALIVE;
+  self->phase = KQ_PHASE_STARTING;
+  kq_program_copy_name (self->name, name);
+  kq_program_copy_name (self->failure_domain, failure_domain);
+}
+
 int
 kq_program_check_control (const KqSettings *settings, const char *path, KqError *error)
 {
