--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -39,7 +39,7 @@
   bool denied = agent->service.removed || !kq_service_admits (&agent->service, &self);
   if ((agent->shutting_down || denied) && !kq_test_switched_off ("drain"))
     return KQ_PHASE_DRAINING;
-  if (!is_settled (agent) && !kq_test_switched_off ("settle"))
+  if (!is_settled (agent))
     return KQ_PHASE_STARTING;
   if (!kq_target_probe_answers (agent->probe) && agent->service.protocol == KQ_PROTOCOL_COAP)
     return KQ_PHASE_STARTING;
