--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 CLANG_FORMAT = clang-format
 CLANG_TIDY = clang-tidy
 
-CPPFLAGS = -Iinclude -Istandins/lib -D_GNU_SOURCE -DKQ_VERSION='"$(VERSION)"' \
+CPPFLAGS = -Iinclude -Istandins/lib -Iplatform -D_GNU_SOURCE -DKQ_VERSION='"$(VERSION)"' \
 	$(shell pkg-config --cflags $(PACKAGES))
 WARNINGS = -Wall -Wextra -Wshadow -Wpointer-arith -Wcast-align -Wformat=2 -Werror
 CFLAGS_release = -O2 -g
@@ -34,7 +34,7 @@
 BENCHES = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
 C_FILES = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h')
 
-all: $(PROGRAMS) $(STANDINS)
+all: $(PROGRAMS) $(PLATFORM_PROGRAMS) $(STANDINS)
 
 everything: all unit-tests fuzzers benches
 unit-tests: $(UNIT_TESTS)
@@ -76,6 +76,22 @@
 $(B)/bench/%: $(B)/bench/%.c.o $(B)/libstandin.a $(B)/libkumquat.a
 	$(LINK) $(LDLIBS)
 
+# The adapter of the users' platform, and the programs that run there.
+PLATFORM_OBJECTS = $(patsubst %,$(B)/%.o,$(filter-out platform/kumquat-%,$(sort $(wildcard platform/*.c))))
+PLATFORM_PROGRAMS = $(patsubst platform/%.c,$(B)/platform/%,$(wildcard platform/kumquat-*.c))
+
+$(B)/platform/kumquat%: $(B)/platform/kumquat%.c.o $(PLATFORM_OBJECTS) $(B)/libkumquat.a
+	$(LINK) -Wl,--as-needed $(LDLIBS)
+
+# What deploy/system.toml builds; everything lies below target.
+deploy:
+	$(MAKE) B=target/build platform-programs
+	cp target/build/platform/kumquat-balancer target/build/platform/kumquat-agent target/
+
+platform-programs: $(PLATFORM_PROGRAMS)
+
+.PHONY: deploy platform-programs
+
 # Every unit test runs under the address and undefined-behaviour sanitizers; those that use threads
 # run under the thread sanitizer as well.
 check: dependencies
@@ -101,9 +117,9 @@
 	@tools/install-packages
 
 clean:
-	rm -rf build
+	rm -rf build target
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find build target -name '*.d' 2>/dev/null)
 
 
 .PHONY: dependencies all everything unit-tests fuzzers benches check format format-check lint clean
--- a/include/kumquat/internal/control_impl.h
+++ b/include/kumquat/internal/control_impl.h
@@ -5,6 +5,7 @@
 #include "kumquat/internal/control_message.h"
 #include "kumquat/internal/control_wire.h"
 #include "kumquat/internal/group.h"
+#include "kumquat/internal/timer.h"
 
 #define KQ_CONTROL_MESSAGE_BYTES (KQ_CONTROL_DATAGRAM_BYTES + KQ_CONTROL_CODE_BYTES)
 
@@ -21,6 +22,7 @@
   KqMember self;
   KqMember *members; /* copy of the live members for the process */
   unsigned member_count;
+  KqTimer *timer;
   bool members_stale;
   uint64_t wrong_key;
   uint64_t oversized;
--- a/include/kumquat/internal/program_parts.h
+++ b/include/kumquat/internal/program_parts.h
@@ -20,6 +20,8 @@
     "address of the control ports, UDP and TCP" },                                                 \
   { "control.seeds", KQ_SETTING_ADDRESS_LIST, false, 0, KQ_SEEDS_MAX, "",                          \
     "control addresses of instances to join through" },                                            \
+  { "control.seed_port", KQ_SETTING_INTEGER, false, 0, 65535, "0",                                 \
+    "port of the seeds, where it is another than the one written; 0: as written" },                \
   { "control.key", KQ_SETTING_TEXT, true, 64, 64, NULL,                                            \
     "key of control traffic, 64 hexadecimal digits, the same on all instances" },                  \
   { "control.old_key", KQ_SETTING_TEXT, false, 0, 64, "",                                          \
--- a/include/kumquat/internal/store_client.h
+++ b/include/kumquat/internal/store_client.h
@@ -13,6 +13,7 @@
 /**
  * struct KqStore - client of one store
  * @ev: (borrowed): the event loop
+ * @dialect: (borrowed): how it is spoken to
  * @http: the HTTP client
  * @endpoints: (array): addresses of the store
  * @endpoint_count: length of @endpoints
@@ -25,6 +26,7 @@
 struct KqStore
 {
   struct tevent_context *ev;
+  const KqStoreDialect *dialect;
   KqHttpClient *http;
   KqAddress endpoints[KQ_STORE_ENDPOINTS_MAX];
   unsigned endpoint_count;
@@ -40,5 +42,9 @@
 void *kq_store_read_range (const void *parent, KqStore *store, const char *prefix,
                            uint64_t min_mod_revision, KqStoreDone done, void *data);
 
+/** kq_store_send - sends @store_call to the endpoint in use; @params gives limits and callbacks,
+ * and the rest is filled in. Return: see kq_http_call() */
+KqHttpCall *kq_store_send (KqStore *store, const KqStoreCall *store_call, KqHttpParams *params);
+
 /** kq_store_failed - notes a failed call: the next one uses another endpoint */
 void kq_store_failed (KqStore *store);
--- a/include/kumquat/internal/store_message.h
+++ b/include/kumquat/internal/store_message.h
@@ -1,4 +1,4 @@
-/* Requests and answers of the store's JSON gateway. */
+/* Requests and answers of the store, in the words that its dialect speaks. */
 #pragma once
 
 #include "kumquat/store.h"
@@ -45,11 +45,45 @@
   bool compacted;
 } KqStoreMessage;
 
-/* Encoders return text owned by @parent. */
-char *kq_store_encode_range (const void *parent, const KqStoreRange *range);
-char *kq_store_encode_writes (const void *parent, const KqStoreWrite *writes, unsigned count);
-char *kq_store_encode_reads (const void *parent, const char *const *keys, unsigned count);
-char *kq_store_encode_watch (const void *parent, const char *prefix, uint64_t start_revision);
+/**
+ * struct KqStoreCall - one HTTP request
+ * @method: (borrowed): static
+ * @path: path and query
+ * @body: (nullable): JSON
+ */
+typedef struct
+{
+  const char *method;
+  char *path;
+  char *body;
+} KqStoreCall;
+
+/**
+ * struct KqStoreDialect - how one kind of store is spoken to
+ * @range: writes a read of keys
+ * @reads: (nullable): writes a read of several keys at once
+ * @writes: writes a transaction of compare-and-swaps
+ * @watch: writes a request for the changes from @start_revision on
+ * @decode: reads the answer to any of them, or one line of a watch that streams. Return: (owned by
+ *   @parent) the message, or NULL with @error set
+ * @poll_ms: a watch answers once, after at most so long, and is asked again; 0: it streams lines
+ * @retry_longest_us: longest pause between attempts while the store does not answer
+ *
+ * Texts written into a call are owned by @parent.
+ */
+typedef struct KqStoreDialect
+{
+  void (*range) (const void *parent, const KqStoreRange *range, KqStoreCall *call);
+  void (*reads) (const void *parent, const char *const *keys, unsigned count, KqStoreCall *call);
+  void (*writes) (const void *parent, const KqStoreWrite *writes, unsigned count,
+                  KqStoreCall *call);
+  void (*watch) (const void *parent, const char *prefix, uint64_t start_revision,
+                 KqStoreCall *call);
+  KqStoreMessage *(*decode) (const void *parent, unsigned status, const char *text, size_t size,
+                             KqError *error);
+  unsigned poll_ms;
+  KqTime retry_longest_us;
+} KqStoreDialect;
 
-/** kq_store_decode - Return: (owned by @parent) the message, or NULL with @error set */
-KqStoreMessage *kq_store_decode (const void *parent, const char *text, size_t size, KqError *error);
+/** kq_store_etcd_dialect - Return: (static) the JSON gateway of etcd v3 */
+const KqStoreDialect *kq_store_etcd_dialect (void);
--- /dev/null
+++ b/include/kumquat/internal/stream_process.h
@@ -0,0 +1,51 @@
+/* What the two daemons that balance streams have in common. */
+#pragma once
+
+#include <tevent.h>
+
+#include "kumquat/internal/stream_adapter.h"
+#include "kumquat/internal/stream_frame.h"
+#include "kumquat/internal/timer.h"
+
+#define KQ_STREAM_FRAME_BYTES 1536 /* a segment and the longest header of a frame */
+
+/* Number and epoch under which the configuration of all streams is spread as one document. */
+#define KQ_ROUTES_DOCUMENT 1
+#define KQ_ROUTES_EPOCH    1
+
+/**
+ * struct KqStreamSocket - a datagram socket on the event loop
+ * @fd: the descriptor
+ * @receive: takes each datagram
+ * @failed: (nullable): told that the peer of a connected socket refuses datagrams
+ * @settled: (nullable): called after each batch
+ * @data: context pointer of the callbacks
+ */
+typedef struct
+{
+  int fd;
+  void (*receive) (const KqAddress *from, const uint8_t *bytes, size_t size, void *data);
+  void (*failed) (void *data);
+  void (*settled) (void *data);
+  void *data;
+} KqStreamSocket;
+
+/** kq_stream_socket_open - binds @local, or connects to @peer when that is not NULL. Return: 0, or
+ * -1 with @error set; @socket is closed with @parent */
+int kq_stream_socket_open (const void *parent, struct tevent_context *ev, KqStreamSocket *socket,
+                           const KqAddress *local, const KqAddress *peer, KqError *error);
+
+/** kq_stream_socket_send - sends a datagram; one that the kernel does not take is lost like one
+ * that the network drops */
+void kq_stream_socket_send (const KqStreamSocket *socket, const KqAddress *to, const uint8_t *bytes,
+                            size_t size);
+
+/** kq_stream_send_frame - encodes and sends */
+void kq_stream_send_frame (const KqStreamSocket *socket, const KqAddress *to,
+                           const KqStreamFrame *frame);
+
+/** kq_ipv4_address - Return: an address of 32 bits in host byte order as KqAddress */
+KqAddress kq_ipv4_address (uint32_t ip, uint16_t port);
+
+/** kq_stream_log_event - writes a decision's event to the log */
+void kq_stream_log_event (int level, const char *name, const char *details, void *data);
--- a/include/kumquat/internal/udp_socket.h
+++ b/include/kumquat/internal/udp_socket.h
@@ -1,8 +1,25 @@
 /* Non-blocking UDP sockets addressed by KqAddress. */
 #pragma once
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include "kumquat/types.h"
 
+/* An address in the kernel's form. */
+typedef union
+{
+  struct sockaddr any;
+  struct sockaddr_in v4;
+  struct sockaddr_in6 v6;
+} KqSocketAddress;
+
+/** kq_socket_address - writes @address in the kernel's form; Return: its length */
+socklen_t kq_socket_address (const KqAddress *address, KqSocketAddress *out);
+
+/** kq_socket_address_read - reads the kernel's form */
+void kq_socket_address_read (const KqSocketAddress *in, KqAddress *out);
+
 #define KQ_UDP_BATCH 32 /* datagrams taken by one call of kq_udp_receive() */
 
 /**
--- a/include/kumquat/program.h
+++ b/include/kumquat/program.h
@@ -22,6 +22,7 @@
  * @stop: SIGTERM or SIGINT: begins a graceful shutdown, whose end calls kq_program_quit(); a second
  *   signal ends the program at once
  * @reload: (nullable): SIGHUP: takes settings that were read and checked again
+ * @data: context pointer, see kq_program_data()
  *
  * Settings are borrowed until the next reload has returned.
  */
@@ -36,6 +37,7 @@
                   KqError *error);
   void (*stop) (void *state);
   void (*reload) (void *state, const KqSettings *settings);
+  const void *data;
 } KqProgramOps;
 
 /**
@@ -48,5 +50,8 @@
  */
 int kq_program_run (const KqProgramOps *ops, int argc, const char **argv);
 
+/** kq_program_data - Return: (borrowed) the context pointer of the daemon's operations */
+const void *kq_program_data (const KqProgram *program);
+
 /** kq_program_quit - ends the event loop with this exit status */
 void kq_program_quit (KqProgram *program, int status);
--- a/include/kumquat/store.h
+++ b/include/kumquat/store.h
@@ -1,4 +1,4 @@
-/* Client of the platform's key-value service (etcd v3 JSON gateway), driven by tevent. */
+/* Client of the platform's key-value service, driven by tevent. */
 #pragma once
 
 #include <tevent.h>
@@ -6,6 +6,7 @@
 #include "kumquat/types.h"
 
 typedef struct KqStore KqStore;
+struct KqStoreDialect; /* kumquat/internal/store_message.h */
 
 /**
  * struct KqStoreValue - one key as the store holds it
@@ -63,11 +64,13 @@
  * @endpoints: (borrowed) (array): addresses of the store's HTTP gateway, tried in turn
  * @count: length of @endpoints
  * @timeout_us: limit of one call
+ * @dialect: (nullable) (borrowed): how the store is spoken to; NULL for etcd v3's JSON gateway
  *
  * Return: (owned by @parent) the client, or NULL with @error set.
  */
 KqStore *kq_store_new (const void *parent, struct tevent_context *ev, const KqAddress *endpoints,
-                       unsigned count, KqTime timeout_us, KqError *error);
+                       unsigned count, KqTime timeout_us, const struct KqStoreDialect *dialect,
+                       KqError *error);
 
 /* No callback of the store may free the store; kq_store_unwatch() is allowed from anywhere but
  * @changed. */
--- /dev/null
+++ b/src/connection/holder_target.c
@@ -0,0 +1,117 @@
+/* What the target sends. Its segments go straight to the caller; what they show of the stream's
+ * state is noted on the way. A target answers one request of a stream after the other, so a request
+ * runs from the caller's data to the target's first data behind it. */
+
+#include <syslog.h>
+
+#include "kumquat/internal/holder_state.h"
+
+static void
+take_probe_back (KqStreamHolder *holder, const KqSegment *segment)
+{
+  for (unsigned i = 0; i < KQ_PROBES_KEPT; i++)
+    {
+      KqProbed *probed = &holder->probed[i];
+      if (probed->tag != segment->tag || !kq_stream_key_equal (&probed->key, &segment->key))
+        continue;
+      probed->tag = 0;
+      kq_holder_answer (holder, &probed->balancer, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, 0,
+                        &segment->key);
+      return;
+    }
+}
+
+static void
+take_bounced (KqStreamHolder *holder, const KqSegment *segment)
+{
+  holder->stats.bounced++;
+  if (segment->tag != 0)
+    {
+      take_probe_back (holder, segment);
+      return;
+    }
+  KqHeldStream *held = kq_held_find (holder, &segment->key);
+  if (held == NULL)
+    return;
+  kq_holder_log (holder, LOG_INFO, "segment-bounced", &segment->key,
+                 "opening=%s caller_ended=%s target_ended=%s",
+                 (segment->flags & KQ_SEGMENT_SYN) != 0 ? "yes" : "no",
+                 held->caller_ended ? "yes" : "no", held->target_ended ? "yes" : "no");
+  /* The last segments of a stream that both ends have left need no answer. */
+  if (held->target_ended && segment->payload_size == 0)
+    kq_held_free (holder, held);
+  else
+    kq_held_gone (holder, held);
+}
+
+static void
+take_accepted (KqStreamHolder *holder, KqHeldStream *held, const KqSegment *segment)
+{
+  held->numbered = true;
+  held->first_number = segment->sequence;
+  holder->silences = 0;
+  holder->silent_until = 0;
+  if (held->state == KQ_HELD_OPEN)
+    return;
+  held->state = KQ_HELD_OPEN;
+  holder->stats.opened++;
+  kq_holder_log (holder, LOG_DEBUG, "stream-accepted", &held->key, "running=%u slots=%u",
+                 holder->admission.running, holder->admission.slots);
+}
+
+static void
+take_data (KqStreamHolder *holder, KqHeldStream *held, KqTime now)
+{
+  if (!held->asked)
+    return;
+  holder->stats.requests++;
+  kq_held_uncount (holder, held, now - held->counted_at);
+}
+
+/* A stream that the target speaks of is held by it, whether this agent has seen it opened or not.
+ */
+static KqHeldStream *
+learn (KqStreamHolder *holder, const KqSegment *segment, KqTime now)
+{
+  KqHeldStream *held = kq_held_new (holder, &segment->key, now);
+  if (held == NULL)
+    return NULL;
+  held->state = KQ_HELD_OPEN;
+  holder->stats.learnt++;
+  return held;
+}
+
+void
+kq_stream_holder_segment (KqStreamHolder *holder, const KqSegment *segment, KqTime now)
+{
+  bool resets = (segment->flags & KQ_SEGMENT_RST) != 0;
+  if ((segment->flags & KQ_SEGMENT_BOUNCED) != 0)
+    {
+      take_bounced (holder, segment);
+      kq_held_start_waiting (holder, now);
+      return;
+    }
+  holder->stats.to_callers++;
+  holder->ops.to_caller (&segment->key, segment->bytes, segment->size, holder->data);
+  KqHeldStream *held = kq_held_find (holder, &segment->key);
+  if (held == NULL && !resets)
+    held = learn (holder, segment, now);
+  if (held == NULL)
+    return;
+  kq_held_touch (holder, held, now);
+  if (resets)
+    kq_held_free (holder, held);
+  else
+    {
+      bool opening = held->state != KQ_HELD_OPEN;
+      if ((segment->flags & KQ_SEGMENT_SYN) != 0)
+        take_accepted (holder, held, segment);
+      if (opening && held->state == KQ_HELD_OPEN)
+        kq_held_answer (holder, held, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE);
+      if (segment->payload_size > 0)
+        take_data (holder, held, now);
+      if ((segment->flags & KQ_SEGMENT_FIN) != 0)
+        held->target_ended = true;
+    }
+  kq_held_start_waiting (holder, now);
+}
--- /dev/null
+++ b/src/connection/stream_holder.c
@@ -0,0 +1,369 @@
+#include <stdio.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "kumquat/internal/holder_state.h"
+
+/* A target accepts within a millisecond; one that does not is taken for silent. */
+#define ACCEPT_US      (70 * KQ_MS)
+#define SILENT_US      (300 * KQ_MS) /* pause before a silent target is offered a stream again */
+#define TICK_US        (20 * KQ_MS)  /* while streams are offered or wait */
+#define IDLE_TICK_US   (500 * KQ_MS)
+#define ENDED_US       (4 * KQ_SECOND)  /* repeated segments of a stream that has ended */
+#define FORGET_US      (65 * KQ_SECOND) /* longer than a stream may live, see max_flow_s */
+#define REQUEST_MAX_US (6 * KQ_SECOND)  /* a request that takes longer no longer counts as load */
+#define NO_REQUEST_US  (1500 * KQ_MS)   /* an opened stream without a request counts so long */
+#define WINDOW_BYTES   (1u << 26)       /* acknowledgements of one stream stay within it */
+#define SAME_AGE_US    (200 * KQ_MS)    /* start of a target that began with its agent */
+
+KqStreamHolder *
+kq_stream_holder_new (const void *parent, const KqStreamHolderParams *params,
+                      const KqStreamHolderOps *ops, void *data, KqTime now)
+{
+  KqStreamHolder *holder = talloc_zero (parent, KqStreamHolder);
+  if (holder == NULL)
+    return NULL;
+  holder->params = *params;
+  holder->ops = *ops;
+  holder->data = data;
+  holder->started_at = now;
+  holder->incomplete = true;
+  kq_admission_init (&holder->admission);
+  TAILQ_INIT (&holder->by_use);
+  if (kq_hash_index_init (&holder->index, holder) < 0)
+    TALLOC_FREE (holder);
+  return holder;
+}
+
+static void
+drop_all (KqStreamHolder *holder)
+{
+  KqHeldStream *held, *next;
+  for (held = TAILQ_FIRST (&holder->by_use); held != NULL; held = next)
+    {
+      next = TAILQ_NEXT (held, by_use);
+      kq_held_gone (holder, held);
+    }
+}
+
+/* Streams that only wait can be placed elsewhere. */
+static void
+decline_waiting (KqStreamHolder *holder, KqStreamRefusal reason)
+{
+  KqHeldStream *held, *next;
+  for (held = TAILQ_FIRST (&holder->by_use); held != NULL; held = next)
+    {
+      next = TAILQ_NEXT (held, by_use);
+      if (held->state != KQ_HELD_WAITING)
+        continue;
+      kq_held_answer (holder, held, KQ_FRAME_DECLINED, reason);
+      kq_held_free (holder, held);
+    }
+}
+
+KqTargetChange
+kq_stream_holder_report (KqStreamHolder *holder, const KqTargetReport *report, KqTime age_us,
+                         KqTime now)
+{
+  bool first = holder->life.report.state == KQ_TARGET_UNKNOWN;
+  KqTargetChange change = kq_target_life_report (&holder->life, report, now);
+  if (change == KQ_TARGET_LATE)
+    return change;
+  if (first && age_us >= 0 && age_us <= now - holder->started_at + SAME_AGE_US)
+    holder->incomplete = false;
+  if (change == KQ_TARGET_REBORN)
+    {
+      drop_all (holder);
+      holder->incomplete = false;
+    }
+  if (change != KQ_TARGET_SAME)
+    holder->silent_until = 0;
+  kq_admission_set_slots (&holder->admission, report->slots);
+  if (!kq_stream_holder_takes_new (holder))
+    decline_waiting (holder, KQ_REFUSAL_DRAINING);
+  return change;
+}
+
+bool
+kq_stream_holder_takes_new (const KqStreamHolder *holder)
+{
+  return !holder->leaving && holder->life.report.state == KQ_TARGET_READY;
+}
+
+void
+kq_stream_holder_leave (KqStreamHolder *holder)
+{
+  holder->leaving = true;
+  decline_waiting (holder, KQ_REFUSAL_DRAINING);
+}
+
+/* Return: why no new stream is taken, or KQ_REFUSAL_NONE. */
+static KqStreamRefusal
+refusal (const KqStreamHolder *holder, KqTime now)
+{
+  KqTargetState state = holder->life.report.state;
+  if (state == KQ_TARGET_UNKNOWN || state == KQ_TARGET_GONE || now < holder->silent_until)
+    return KQ_REFUSAL_NO_TARGET;
+  if (state == KQ_TARGET_DRAINING || holder->leaving)
+    return KQ_REFUSAL_DRAINING;
+  return KQ_REFUSAL_NONE;
+}
+
+static void
+take_new (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame,
+          const KqSegment *segment, KqTime now)
+{
+  KqStreamRefusal reason = refusal (holder, now);
+  bool room = kq_admission_has_room (&holder->admission) && holder->admission.waiting_count == 0;
+  KqAdmissionEntry entry = { .need = frame->need, .arrived_at = now - frame->need.age_ms * KQ_MS };
+  if (reason == KQ_REFUSAL_NONE && !room && !frame->need.may_wait)
+    reason = KQ_REFUSAL_BUSY;
+  if (reason == KQ_REFUSAL_NONE && !room &&
+      !kq_admission_worth_waiting (&holder->admission, &entry, now))
+    reason = KQ_REFUSAL_OVERLOAD;
+  KqHeldStream *held = NULL;
+  if (reason == KQ_REFUSAL_NONE && segment->size <= KQ_OPENING_BYTES)
+    held = kq_held_new (holder, &frame->key, now);
+  if (held == NULL)
+    {
+      kq_holder_answer (holder, from, KQ_FRAME_DECLINED, reason, frame->attempt, &frame->key);
+      return;
+    }
+  held->balancer = *from;
+  held->attempt = frame->attempt;
+  held->entry = entry;
+  held->opening_size = segment->size;
+  memcpy (held->opening, segment->bytes, segment->size);
+  if (room)
+    {
+      kq_held_open (holder, held, now);
+      return;
+    }
+  held->state = KQ_HELD_WAITING;
+  holder->stats.waited++;
+  holder->next_tick = 0;
+  kq_admission_wait (&holder->admission, &held->entry);
+}
+
+static void
+take_opening (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame,
+              const KqSegment *segment, KqTime now)
+{
+  KqHeldStream *held = kq_held_find (holder, &frame->key);
+  if (held != NULL && held->target_ended && held->caller_ended)
+    {
+      kq_held_free (holder, held);
+      held = NULL;
+    }
+  if (held == NULL)
+    {
+      take_new (holder, from, frame, segment, now);
+      return;
+    }
+  held->balancer = *from;
+  held->attempt = frame->attempt;
+  if (held->state == KQ_HELD_WAITING)
+    return;
+  holder->stats.to_target++;
+  holder->ops.deliver (segment->bytes, segment->size, 0, holder->data);
+  if (held->state == KQ_HELD_OPEN)
+    kq_held_answer (holder, held, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE);
+}
+
+/* The target returns the segment with the tag when it does not hold the stream. */
+static void
+probe (KqStreamHolder *holder, const KqAddress *from, const KqSegment *segment)
+{
+  KqProbed *probed = &holder->probed[++holder->last_tag % KQ_PROBES_KEPT];
+  if (holder->last_tag == 0)
+    holder->last_tag = 1;
+  probed->tag = holder->last_tag;
+  probed->key = segment->key;
+  probed->balancer = *from;
+  holder->stats.probed++;
+  holder->stats.to_target++;
+  holder->ops.deliver (segment->bytes, segment->size, probed->tag, holder->data);
+}
+
+/* The same opening segment can be accepted by two targets; the caller goes on with one of them. */
+static bool
+answers_another_target (const KqHeldStream *held, const KqSegment *segment)
+{
+  return held->numbered && (segment->flags & KQ_SEGMENT_ACK) != 0 &&
+         segment->acknowledged - held->first_number > WINDOW_BYTES;
+}
+
+static void
+take_carried (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame,
+              const KqSegment *segment, KqTime now)
+{
+  KqHeldStream *held = kq_held_find (holder, &frame->key);
+  if (held != NULL && (held->state == KQ_HELD_WAITING || answers_another_target (held, segment)))
+    held = NULL;
+  if (held == NULL && (holder->incomplete || frame->type == KQ_FRAME_PROBE))
+    {
+      probe (holder, from, segment);
+      return;
+    }
+  if (held == NULL)
+    {
+      kq_holder_answer (holder, from, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, 0, &frame->key);
+      return;
+    }
+  held->balancer = *from;
+  kq_held_touch (holder, held, now);
+  if (segment->payload_size > 0 && !held->asked && !held->target_ended)
+    {
+      held->asked = true;
+      kq_held_count (holder, held, now);
+    }
+  if ((segment->flags & (KQ_SEGMENT_FIN | KQ_SEGMENT_RST)) != 0)
+    held->caller_ended = true;
+  holder->stats.to_target++;
+  holder->ops.deliver (segment->bytes, segment->size, 0, holder->data);
+  if ((segment->flags & KQ_SEGMENT_RST) != 0)
+    kq_held_uncount (holder, held, -1);
+}
+
+static void
+take_find (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame)
+{
+  KqHeldStream *held = kq_held_find (holder, &frame->key);
+  if (held != NULL && held->state == KQ_HELD_OPEN)
+    {
+      held->balancer = *from;
+      kq_holder_answer (holder, from, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, 0, &frame->key);
+    }
+  else if (holder->incomplete)
+    kq_holder_answer (holder, from, KQ_FRAME_MAYBE, KQ_REFUSAL_NONE, 0, &frame->key);
+  else
+    kq_holder_answer (holder, from, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, 0, &frame->key);
+}
+
+void
+kq_stream_holder_frame (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame,
+                        const KqSegment *segment, KqTime now)
+{
+  if (frame->service != holder->params.service || frame->agent != holder->params.agent)
+    {
+      holder->stats.misdirected++;
+      kq_holder_answer (holder, from, KQ_FRAME_DECLINED, KQ_REFUSAL_WRONG_SERVICE, frame->attempt,
+                        &frame->key);
+      return;
+    }
+  switch (frame->type)
+    {
+    case KQ_FRAME_OPEN:
+      take_opening (holder, from, frame, segment, now);
+      break;
+    case KQ_FRAME_CARRY:
+    case KQ_FRAME_PROBE:
+      take_carried (holder, from, frame, segment, now);
+      break;
+    case KQ_FRAME_FIND:
+      take_find (holder, from, frame);
+      break;
+    case KQ_FRAME_HOLDS:
+    case KQ_FRAME_MAYBE:
+    case KQ_FRAME_DECLINED:
+      holder->stats.misdirected++;
+      break;
+    }
+}
+
+void
+kq_stream_holder_unreachable (KqStreamHolder *holder, KqTime now)
+{
+  if (now >= holder->silent_until)
+    holder->ops.event (LOG_WARNING, "target-unreachable", "reason=\"nobody listens there\"",
+                       holder->data);
+  holder->silent_until = now + SILENT_US;
+  drop_all (holder);
+}
+
+/* The target did not accept an opening segment. */
+static void
+give_up_opening (KqStreamHolder *holder, KqHeldStream *held, KqTime now)
+{
+  holder->silences++;
+  holder->silent_until = now + SILENT_US;
+  kq_holder_log (holder, LOG_INFO, "target-silent", &held->key, "silences=%u waited_ms=%lld",
+                 holder->silences, (long long)((now - held->counted_at) / KQ_MS));
+  kq_held_answer (holder, held, KQ_FRAME_DECLINED, KQ_REFUSAL_NO_TARGET);
+  kq_held_free (holder, held);
+}
+
+static void
+look_at (KqStreamHolder *holder, KqHeldStream *held, KqTime now, KqTime *next)
+{
+  KqTime idle = now - held->used_at;
+  KqTime counted = now - held->counted_at;
+  bool ended = held->target_ended && held->caller_ended;
+  if (held->state == KQ_HELD_OFFERED && counted >= ACCEPT_US)
+    {
+      give_up_opening (holder, held, now);
+      return;
+    }
+  if (held->state != KQ_HELD_OPEN)
+    {
+      *next = now + TICK_US;
+      return;
+    }
+  if (held->counted && counted >= (held->asked ? REQUEST_MAX_US : NO_REQUEST_US))
+    kq_held_uncount (holder, held, -1);
+  if (idle >= FORGET_US || (ended && idle >= ENDED_US))
+    kq_held_free (holder, held);
+}
+
+static void
+refuse_useless (KqStreamHolder *holder, KqTime now)
+{
+  KqAdmissionEntry *entry;
+  while ((entry = kq_admission_useless (&holder->admission, now)) != NULL)
+    {
+      KqHeldStream *held = KQ_CONTAINER (entry, KqHeldStream, entry);
+      kq_held_answer (holder, held, KQ_FRAME_DECLINED, KQ_REFUSAL_OVERLOAD);
+      kq_held_free (holder, held);
+    }
+}
+
+KqTime
+kq_stream_holder_next_tick (const KqStreamHolder *holder)
+{
+  return holder->next_tick;
+}
+
+void
+kq_stream_holder_tick (KqStreamHolder *holder, KqTime now)
+{
+  KqHeldStream *held, *next;
+  KqTime when = now + IDLE_TICK_US;
+  if (holder->incomplete && now - holder->started_at >= FORGET_US)
+    holder->incomplete = false;
+  refuse_useless (holder, now);
+  for (held = TAILQ_FIRST (&holder->by_use); held != NULL; held = next)
+    {
+      next = TAILQ_NEXT (held, by_use);
+      look_at (holder, held, now, &when);
+    }
+  kq_held_start_waiting (holder, now);
+  holder->next_tick = when;
+}
+
+KqStreamHolderStats
+kq_stream_holder_stats (const KqStreamHolder *holder)
+{
+  return holder->stats;
+}
+
+const KqTargetLife *
+kq_stream_holder_target (const KqStreamHolder *holder)
+{
+  return &holder->life;
+}
+
+KqTargetLoad
+kq_stream_holder_load (const KqStreamHolder *holder)
+{
+  return kq_admission_load (&holder->admission);
+}
--- /dev/null
+++ b/src/connection/stream_offer.c
@@ -0,0 +1,134 @@
+/* A new stream is offered to one agent at a time. An agent whose slots are taken sends it back with
+ * its load, and the next one is asked. When OFFERS_FREE agents were busy, the one that is done
+ * first gets the stream and lets it wait for a slot, or refuses it because it would wait for longer
+ * than it is useful. So load is read where it is true, at the time when it is needed, and costs a
+ * round trip only when slots are taken. This answers loads near and above the slots of a service.
+ */
+
+#include <string.h>
+#include <syslog.h>
+
+#include "kumquat/internal/stream_state.h"
+
+#define OFFERS_FREE 3 /* offers that ask for a free slot, before one that may wait */
+#define OFFERS_MAX  8 /* offers of one stream in all */
+
+/* An agent answers as soon as its target has accepted, within milliseconds. A machine whose share
+ * of the processor is used up stands still for up to a tenth of a second. */
+#define ANSWER_US (110 * KQ_MS)
+
+#define NO_TARGET_US (300 * KQ_MS) /* how long a stream waits for any agent to appear */
+#define RETRY_US     (20 * KQ_MS)  /* between looks at the agents meanwhile */
+
+static void
+refuse (KqStreamRouter *router, KqStream *stream, KqStreamRefusal reason, KqTime now)
+{
+  router->stats.refused++;
+  kq_stream_log (router, LOG_INFO, "stream-refused", stream,
+                 "reason=%s offers=%u age_ms=%lld run=no", kq_stream_refusal_name (reason),
+                 stream->offers, (long long)((now - stream->first_at) / KQ_MS));
+  kq_stream_refuse (router, stream, now);
+}
+
+static void
+send_offer (KqStreamRouter *router, KqStream *stream, KqStreamTarget *target, KqTime now)
+{
+  KqHeldSegment *opening = STAILQ_FIRST (&stream->held);
+  if (opening == NULL)
+    return;
+  stream->owner = target->peer.id;
+  stream->attempt = ++router->last_attempt;
+  stream->need.age_ms = (uint32_t)((now - stream->first_at) / KQ_MS);
+  stream->offers++;
+  target->offered++;
+  router->stats.offers++;
+  kq_stream_send (router, stream, target, KQ_FRAME_OPEN, opening->bytes, opening->size);
+  kq_stream_wait_until (router, stream, now + ANSWER_US);
+}
+
+/* The agents that were busy may be asked again, and may let the stream wait. */
+static void
+allow_waiting (KqStream *stream)
+{
+  stream->need.may_wait = true;
+  stream->busy_count = 0;
+}
+
+static KqStreamTarget *
+choose (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  uint64_t excluded[2 * KQ_STREAM_TRIED_MAX];
+  memcpy (excluded, stream->tried, stream->tried_count * sizeof excluded[0]);
+  memcpy (excluded + stream->tried_count, stream->busy, stream->busy_count * sizeof excluded[0]);
+  return kq_stream_targets_choose (router->targets, stream->service,
+                                   kq_stream_key_hash (&stream->key), excluded,
+                                   stream->tried_count + stream->busy_count, now);
+}
+
+void
+kq_stream_offer (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  if (stream->busy_count >= OFFERS_FREE)
+    allow_waiting (stream);
+  KqStreamTarget *target = stream->offers < OFFERS_MAX ? choose (router, stream, now) : NULL;
+  if (target == NULL && stream->busy_count > 0)
+    {
+      allow_waiting (stream);
+      target = choose (router, stream, now);
+    }
+  if (target != NULL)
+    send_offer (router, stream, target, now);
+  else if (stream->offers == 0 && now - stream->first_at < NO_TARGET_US)
+    kq_stream_wait_until (router, stream, now + RETRY_US);
+  else
+    refuse (router, stream, KQ_REFUSAL_NO_TARGET, now);
+}
+
+static void
+exclude (KqStream *stream, uint64_t agent)
+{
+  if (stream->tried_count < KQ_STREAM_TRIED_MAX)
+    stream->tried[stream->tried_count++] = agent;
+}
+
+void
+kq_stream_offer_declined (KqStreamRouter *router, KqStream *stream, KqStreamTarget *target,
+                          KqStreamRefusal reason, KqTime now)
+{
+  router->stats.declined++;
+  switch (reason)
+    {
+    case KQ_REFUSAL_OVERLOAD:
+      refuse (router, stream, reason, now);
+      return;
+    case KQ_REFUSAL_BUSY:
+      if (stream->busy_count < KQ_STREAM_TRIED_MAX)
+        stream->busy[stream->busy_count++] = target->peer.id;
+      break;
+    case KQ_REFUSAL_DRAINING:
+      target->serving = false;
+      exclude (stream, target->peer.id);
+      break;
+    default:
+      kq_stream_target_silent (target, now);
+      exclude (stream, target->peer.id);
+      break;
+    }
+  kq_stream_offer (router, stream, now);
+}
+
+void
+kq_stream_offer_late (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  KqStreamTarget *target = kq_stream_targets_find (router->targets, stream->owner);
+  if (stream->owner != 0)
+    {
+      router->stats.unanswered++;
+      kq_stream_log (router, LOG_INFO, "offer-unanswered", stream, "agent=%016llx offers=%u",
+                     (unsigned long long)stream->owner, stream->offers);
+      exclude (stream, stream->owner);
+    }
+  if (target != NULL)
+    kq_stream_target_silent (target, now);
+  kq_stream_offer (router, stream, now);
+}
--- /dev/null
+++ b/src/connection/stream_search.c
@@ -0,0 +1,140 @@
+/* A segment of a stream that this balancer does not know comes after another balancer ended, or
+ * after the fabric moved the stream. All agents that can hold it are asked; the holder answers. An
+ * agent that started beside a target that was running before cannot tell: the segment itself goes
+ * to all of these, and each target that does not hold the stream returns it. So an open stream
+ * costs a round trip, and no target gets segments of others for longer than one. */
+
+#include <syslog.h>
+
+#include "kumquat/internal/stream_state.h"
+
+#define ANSWERS_US (60 * KQ_MS)  /* answers come within a round trip between failure domains */
+#define PROBE_US   (120 * KQ_MS) /* a target answers or returns a segment within milliseconds */
+#define LOST_US    (300 * KQ_MS) /* pause before a stream without a holder is searched again */
+
+static bool
+may_hold (const KqStreamRouter *router, const KqStream *stream, const KqStreamTarget *target)
+{
+  const KqRoute *route =
+      router->routes == NULL ? NULL : kq_route_table_find (router->routes, &stream->key);
+  if (route == NULL)
+    return true;
+  for (unsigned i = 0; i < route->service_count; i++)
+    if (route->services[i].number == target->service)
+      return true;
+  return false;
+}
+
+static void
+give_up (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  router->stats.lost++;
+  kq_stream_log (router, LOG_INFO, "stream-lost", stream, "target_gone=%s age_ms=%lld",
+                 stream->gone ? "yes" : "unknown", (long long)((now - stream->first_at) / KQ_MS));
+  /* Without the word of the target that held it, the stream may still live where nobody answers. */
+  if (stream->gone)
+    {
+      kq_stream_refuse (router, stream, now);
+      return;
+    }
+  stream->state = KQ_STREAM_REFUSED;
+  kq_stream_drop_held (stream);
+  kq_stream_wait_until (router, stream, now + LOST_US);
+}
+
+void
+kq_stream_search (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  unsigned count;
+  KqStreamTarget *targets = kq_stream_targets_all (router->targets, &count);
+  stream->state = KQ_STREAM_SEARCHING;
+  stream->attempt = ++router->last_attempt;
+  stream->unanswered = 0;
+  stream->maybe_count = 0;
+  router->stats.searches++;
+  for (unsigned i = 0; i < count; i++)
+    {
+      if (!may_hold (router, stream, &targets[i]))
+        continue;
+      stream->unanswered++;
+      kq_stream_send (router, stream, &targets[i], KQ_FRAME_FIND, NULL, 0);
+    }
+  if (stream->unanswered > 0)
+    kq_stream_wait_until (router, stream, now + ANSWERS_US);
+  else
+    give_up (router, stream, now);
+}
+
+static void
+probe (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  KqHeldSegment *held = STAILQ_FIRST (&stream->held);
+  stream->state = KQ_STREAM_PROBING;
+  stream->unanswered = 0;
+  for (unsigned i = 0; held != NULL && i < stream->maybe_count; i++)
+    {
+      KqStreamTarget *target = kq_stream_targets_find (router->targets, stream->maybe[i]);
+      if (target == NULL)
+        continue;
+      stream->unanswered++;
+      kq_stream_send (router, stream, target, KQ_FRAME_PROBE, held->bytes, held->size);
+    }
+  kq_stream_wait_until (router, stream, now + PROBE_US);
+}
+
+static void
+forget_maybe (KqStream *stream, uint64_t agent)
+{
+  for (unsigned i = 0; i < stream->maybe_count; i++)
+    if (stream->maybe[i] == agent)
+      {
+        stream->maybe[i] = stream->maybe[--stream->maybe_count];
+        return;
+      }
+}
+
+/* All answers are in, or late. */
+static void
+conclude (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  KqStreamTarget *last = NULL;
+  if (stream->maybe_count == 1)
+    last = kq_stream_targets_find (router->targets, stream->maybe[0]);
+  if (stream->state == KQ_STREAM_SEARCHING && stream->maybe_count > 0 && stream->held_count > 0)
+    probe (router, stream, now);
+  else if (stream->state == KQ_STREAM_PROBING && last != NULL)
+    {
+      /* All others returned the segment, and this target kept it. */
+      router->stats.found++;
+      KqHeldSegment *first = STAILQ_FIRST (&stream->held);
+      if (first != NULL)
+        {
+          STAILQ_REMOVE_HEAD (&stream->held, link);
+          stream->held_count--;
+          talloc_free (first);
+        }
+      kq_stream_settle (router, stream, last);
+    }
+  else
+    give_up (router, stream, now);
+}
+
+void
+kq_stream_search_answer (KqStreamRouter *router, KqStream *stream, const KqStreamFrame *frame,
+                         KqTime now)
+{
+  if (frame->type == KQ_FRAME_MAYBE && stream->maybe_count < KQ_STREAM_TRIED_MAX)
+    stream->maybe[stream->maybe_count++] = frame->agent;
+  if (frame->type == KQ_FRAME_DECLINED)
+    forget_maybe (stream, frame->agent);
+  if (stream->unanswered > 0)
+    stream->unanswered--;
+  if (stream->unanswered == 0)
+    conclude (router, stream, now);
+}
+
+void
+kq_stream_search_late (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  conclude (router, stream, now);
+}
--- /dev/null
+++ b/src/connection/stream_targets.c
@@ -0,0 +1,212 @@
+/* A new stream's candidates are the first KQ_STREAM_CANDIDATES_MAX agents of its service by
+ * rendezvous hashing, so that any balancer finds the holder of a stream among few. Among them the
+ * balancer prefers the one where the next request ends soonest. Its knowledge is what the agents
+ * said in their answers, so it is old by the time between two offers; the agent itself decides, and
+ * sends the offer back when its slots are taken. */
+
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/stream_targets.h"
+
+/* One way more between failure domains, there and for the answer's bytes, in which the price of
+ * traffic between domains is expressed as time. A free slot nearby beats one far away; a queue of a
+ * few requests does not. */
+#define FAR_US (20 * KQ_MS)
+
+#define SERVICE_FIRST_US 50000           /* time of a request while no agent has reported one */
+#define LOAD_FADES_US    (2 * KQ_SECOND) /* a report older than this says nothing any more */
+#define SILENT_US        (500 * KQ_MS)   /* pause after the first offer without an answer */
+#define SILENCES_MAX     3               /* after so many the pause does not grow */
+
+struct KqStreamTargets
+{
+  char domain[KQ_NAME_BYTES];
+  KqStreamTarget *targets;
+  unsigned count;
+};
+
+KqStreamTargets *
+kq_stream_targets_new (const void *parent, const char *domain)
+{
+  KqStreamTargets *targets = talloc_zero (parent, KqStreamTargets);
+  if (targets != NULL)
+    strncpy (targets->domain, domain, sizeof targets->domain - 1);
+  return targets;
+}
+
+KqStreamTarget *
+kq_stream_targets_find (const KqStreamTargets *targets, uint64_t id)
+{
+  for (unsigned i = 0; i < targets->count; i++)
+    if (targets->targets[i].peer.id == id)
+      return &targets->targets[i];
+  return NULL;
+}
+
+KqStreamTarget *
+kq_stream_targets_all (const KqStreamTargets *targets, unsigned *count)
+{
+  *count = targets->count;
+  return targets->targets;
+}
+
+static void
+fill (const KqStreamTargets *known, const KqMember *member, KqStreamTarget *target)
+{
+  const KqStreamTarget *before = kq_stream_targets_find (known, member->peer.id);
+  memset (target, 0, sizeof *target);
+  if (before != NULL && before->peer.incarnation == member->peer.incarnation)
+    *target = *before;
+  target->peer = member->peer;
+  target->service = member->service;
+  target->near = strcmp (member->failure_domain, known->domain) == 0;
+  target->serving = member->phase == KQ_PHASE_SERVING;
+}
+
+void
+kq_stream_targets_set (KqStreamTargets *targets, const KqMember *members, unsigned count)
+{
+  KqStreamTarget *table = talloc_array (targets, KqStreamTarget, count + 1);
+  unsigned used = 0;
+  if (table == NULL)
+    return;
+  for (unsigned i = 0; i < count; i++)
+    if (members[i].role == KQ_ROLE_AGENT)
+      fill (targets, &members[i], &table[used++]);
+  talloc_free (targets->targets);
+  targets->targets = table;
+  targets->count = used;
+}
+
+static uint64_t
+rendezvous_weight (uint64_t hash, uint64_t id)
+{
+  uint64_t value = hash * UINT64_C (0x9e3779b97f4a7c15) ^ id;
+  value ^= value >> 32;
+  value *= UINT64_C (0xd6e8feb86659fd93);
+  return value ^ value >> 32;
+}
+
+/**
+ * struct Candidates - best draws of one stream
+ */
+typedef struct
+{
+  KqStreamTarget *targets[KQ_STREAM_CANDIDATES_MAX];
+  uint64_t weights[KQ_STREAM_CANDIDATES_MAX];
+  unsigned count;
+} Candidates;
+
+static void
+add_candidate (Candidates *best, KqStreamTarget *target, uint64_t weight)
+{
+  unsigned rank = best->count;
+  while (rank > 0 && weight > best->weights[rank - 1])
+    rank--;
+  if (rank == KQ_STREAM_CANDIDATES_MAX)
+    return;
+  if (best->count < KQ_STREAM_CANDIDATES_MAX)
+    best->count++;
+  for (unsigned i = best->count - 1; i > rank; i--)
+    {
+      best->targets[i] = best->targets[i - 1];
+      best->weights[i] = best->weights[i - 1];
+    }
+  best->targets[rank] = target;
+  best->weights[rank] = weight;
+}
+
+static bool
+was_tried (uint64_t id, const uint64_t *tried, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    if (tried[i] == id)
+      return true;
+  return false;
+}
+
+static uint64_t
+usual_service_us (const KqStreamTargets *targets, uint32_t service)
+{
+  uint64_t sum = 0;
+  unsigned count = 0;
+  for (unsigned i = 0; i < targets->count; i++)
+    {
+      const KqStreamTarget *target = &targets->targets[i];
+      if (target->service != service || target->load.service_us == 0)
+        continue;
+      sum += target->load.service_us;
+      count++;
+    }
+  return count == 0 ? SERVICE_FIRST_US : sum / count;
+}
+
+/* Time until a request that is sent now is answered, in microseconds. An old report counts for
+ * less, so that a target that was slow is tried again. */
+static uint64_t
+cost (const KqStreamTarget *target, uint64_t usual, KqTime now)
+{
+  uint64_t way = target->near ? 0 : FAR_US;
+  KqTime age = now - target->load_at;
+  if (target->load_at == 0 || age >= LOAD_FADES_US || target->load.slots == 0)
+    return usual + target->offered * usual / 4 + way;
+  uint64_t known = target->load.service_us == 0 ? usual : target->load.service_us;
+  uint64_t fade = (uint64_t)age;
+  uint64_t service = (known * (LOAD_FADES_US - fade) + usual * fade) / LOAD_FADES_US;
+  uint64_t running = target->load.running + target->load.waiting + target->offered;
+  uint64_t slots = target->load.slots;
+  uint64_t queued = running >= slots ? running + 1 - slots : 0;
+  /* Among targets with free slots, a fuller one is a little worse: its report is soon out of date.
+   */
+  return service + queued * service / slots + running * service / slots / 4 + way;
+}
+
+KqStreamTarget *
+kq_stream_targets_choose (const KqStreamTargets *targets, uint32_t service, uint64_t hash,
+                          const uint64_t *tried, unsigned tried_count, KqTime now)
+{
+  Candidates best = { .count = 0 };
+  KqStreamTarget *chosen = NULL;
+  KqStreamTarget *resort = NULL;
+  uint64_t usual = usual_service_us (targets, service);
+  uint64_t lowest = 0;
+  for (unsigned i = 0; i < targets->count; i++)
+    {
+      KqStreamTarget *target = &targets->targets[i];
+      if (target->service != service || !target->serving ||
+          was_tried (target->peer.id, tried, tried_count))
+        continue;
+      if (target->silent_until > now)
+        resort = target;
+      else
+        add_candidate (&best, target, rendezvous_weight (hash, target->peer.id));
+    }
+  for (unsigned i = 0; i < best.count; i++)
+    {
+      uint64_t price = cost (best.targets[i], usual, now);
+      if (chosen != NULL && price >= lowest)
+        continue;
+      chosen = best.targets[i];
+      lowest = price;
+    }
+  return chosen == NULL ? resort : chosen;
+}
+
+void
+kq_stream_target_answered (KqStreamTarget *target, const KqTargetLoad *load, KqTime now)
+{
+  target->load = *load;
+  target->load_at = now;
+  target->offered = 0;
+  target->silences = 0;
+  target->silent_until = 0;
+}
+
+void
+kq_stream_target_silent (KqStreamTarget *target, KqTime now)
+{
+  if (target->silences < SILENCES_MAX)
+    target->silences++;
+  target->silent_until = now + SILENT_US * target->silences;
+}
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -210,7 +210,7 @@
   talloc_set_destructor (balancer, destroy);
   balancer->catalog = kq_service_catalog_new (balancer);
   balancer->store = kq_store_new (balancer, ev, params->store, params->store_count,
-                                  params->store_timeout_us, error);
+                                  params->store_timeout_us, NULL, error);
   if (balancer->store == NULL || start_forwarder (balancer, error) < 0 ||
       start_control (balancer, error) < 0 || kq_balancer_http_open (balancer, error) < 0)
     goto error;
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -137,14 +137,12 @@
 }
 
 static void
-tick (struct tevent_context *ev, struct tevent_timer *timer, struct timeval due, void *data)
+tick (void *data)
 {
   KqControl *control = data;
-  (void)timer;
-  (void)due;
-  struct timeval next = tevent_timeval_current_ofs (0, KQ_GROUP_TICK_US);
-  tevent_add_timer (ev, control, next, tick, control);
-  kq_group_tick (control->group, kq_clock_now ());
+  KqTime now = kq_clock_now ();
+  kq_timer_set (control->timer, now + KQ_GROUP_TICK_US);
+  kq_group_tick (control->group, now);
 }
 
 static int
@@ -170,9 +168,12 @@
   if (control->bulk == NULL)
     return -1;
   control->fde = tevent_add_fd (ev, control, control->fd, TEVENT_FD_READ, socket_ready, control);
-  struct timeval first = tevent_timeval_current_ofs (0, KQ_GROUP_TICK_US);
-  if (control->fde == NULL || tevent_add_timer (ev, control, first, tick, control) == NULL)
+  if (control->fde == NULL)
     return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for an event; raise the limit");
+  control->timer = kq_timer_new (control, ev, tick, control, error);
+  if (control->timer == NULL)
+    return -1;
+  kq_timer_set (control->timer, kq_clock_now () + KQ_GROUP_TICK_US);
   return 0;
 }
 
--- a/src/process/http_server.c
+++ b/src/process/http_server.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "kumquat/http_server.h"
+#include "kumquat/internal/udp_socket.h"
 
 #define BODY_BYTES_MAX     ((size_t)2 * 1024 * 1024) /* a value of 1 MB in base64 fits */
 #define CONNECTIONS_MAX    256
@@ -247,20 +248,32 @@
 }
 
 static int
-open_socket (const KqAddress *listen_address, KqHttpServer *server, KqError *error)
+listen_on (const KqAddress *listen_address, int *fd)
 {
-  char text[KQ_ADDRESS_TEXT_BYTES];
-  struct sockaddr_in6 address = { .sin6_family = AF_INET6 };
-  socklen_t size = sizeof address;
+  KqSocketAddress address;
   int on = 1;
   int off = 0;
-  int fd = socket (AF_INET6, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  memcpy (&address.sin6_addr, listen_address->ip, sizeof address.sin6_addr);
-  address.sin6_port = htons (listen_address->port);
-  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0 ||
-      setsockopt (fd, IPPROTO_IPV6, IPV6_V6ONLY, &off, sizeof off) < 0 ||
-      bind (fd, (struct sockaddr *)&address, sizeof address) < 0 ||
-      listen (fd, CONNECTIONS_MAX) < 0 || getsockname (fd, (struct sockaddr *)&address, &size) < 0)
+  socklen_t size = kq_socket_address (listen_address, &address);
+  *fd = socket (address.any.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (*fd < 0 || setsockopt (*fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0)
+    return -1;
+  if (address.any.sa_family == AF_INET6 &&
+      setsockopt (*fd, IPPROTO_IPV6, IPV6_V6ONLY, &off, sizeof off) < 0)
+    return -1;
+  if (bind (*fd, &address.any, size) < 0 || listen (*fd, CONNECTIONS_MAX) < 0)
+    return -1;
+  return 0;
+}
+
+static int
+open_socket (const KqAddress *listen_address, KqHttpServer *server, KqError *error)
+{
+  char text[KQ_ADDRESS_TEXT_BYTES];
+  KqSocketAddress bound;
+  KqAddress address;
+  socklen_t size = sizeof bound;
+  int fd;
+  if (listen_on (listen_address, &fd) < 0 || getsockname (fd, &bound.any, &size) < 0)
     {
       kq_error_set (error, KQ_ERROR_SYSTEM,
                     "cannot listen on %s: %s; free the port or set another address",
@@ -269,7 +282,8 @@
         close (fd);
       return -1;
     }
-  server->port = ntohs (address.sin6_port);
+  kq_socket_address_read (&bound, &address);
+  server->port = address.port;
   return fd;
 }
 
--- a/src/process/program.c
+++ b/src/process/program.c
@@ -49,6 +49,12 @@
   program->status = status;
 }
 
+const void *
+kq_program_data (const KqProgram *program)
+{
+  return program->ops->data;
+}
+
 static KqSettings *
 load_settings (KqProgram *program, KqError *error)
 {
--- a/src/process/program_parts.c
+++ b/src/process/program_parts.c
@@ -62,6 +62,9 @@
   params->self.control = kq_settings_address (settings, "control.address");
   params->seed_count =
       kq_settings_address_list (settings, "control.seeds", params->seeds, KQ_SEEDS_MAX);
+  int64_t port = kq_settings_integer (settings, "control.seed_port");
+  for (unsigned i = 0; port > 0 && i < params->seed_count; i++)
+    params->seeds[i].port = (uint16_t)port;
   kq_program_parse_key (kq_settings_text (settings, "control.key"), params->key);
   const char *old_key = kq_settings_text (settings, "control.old_key");
   params->has_old_key = kq_program_parse_key (old_key, params->old_key) == 0;
--- a/src/process/store.c
+++ b/src/process/store.c
@@ -3,7 +3,6 @@
 
 #include "kumquat/internal/store_client.h"
 
-#define STATUS_OK           200
 #define STATUS_SERVER_ERROR 500
 
 /**
@@ -40,10 +39,11 @@
 
 KqStore *
 kq_store_new (const void *parent, struct tevent_context *ev, const KqAddress *endpoints,
-              unsigned count, KqTime timeout_us, KqError *error)
+              unsigned count, KqTime timeout_us, const KqStoreDialect *dialect, KqError *error)
 {
   KqStore *store = talloc_zero (parent, KqStore);
   store->ev = ev;
+  store->dialect = dialect == NULL ? kq_store_etcd_dialect () : dialect;
   store->timeout_us = timeout_us;
   store->endpoint_count = count < KQ_STORE_ENDPOINTS_MAX ? count : KQ_STORE_ENDPOINTS_MAX;
   memcpy (store->endpoints, endpoints, store->endpoint_count * sizeof endpoints[0]);
@@ -87,6 +87,16 @@
       kq_address_format (&store->endpoints[store->endpoint], address), why);
 }
 
+KqHttpCall *
+kq_store_send (KqStore *store, const KqStoreCall *store_call, KqHttpParams *params)
+{
+  params->address = store->endpoints[store->endpoint];
+  params->method = store_call->method;
+  params->path = store_call->path;
+  params->body = store_call->body;
+  return kq_http_call (store->http, params);
+}
+
 static int
 destroy_read (Read *read)
 {
@@ -130,12 +140,13 @@
   Read *read = data;
   KqStore *store = read->store;
   KqStoreReply reply = { 0 };
+  KqError why = { 0 };
   KqStoreMessage *page = NULL;
   read->call = NULL;
-  if (result->answered && result->status == STATUS_OK)
-    page = kq_store_decode (read, result->body, result->size, &reply.error);
-  else
-    set_unavailable (store, &reply, result->answered ? "HTTP error" : result->failure);
+  if (result->answered)
+    page = store->dialect->decode (read, result->status, result->body, result->size, &why);
+  if (page == NULL)
+    set_unavailable (store, &reply, result->answered ? why.message : result->failure);
   if (page == NULL)
     {
       kq_store_failed (store);
@@ -162,16 +173,12 @@
                          .at_revision = read->revision,
                          .min_mod_revision = read->min_mod_revision,
                          .limit = KQ_STORE_KEYS_A_PAGE };
-  char *body = kq_store_encode_range (read, &range);
-  KqHttpParams params = { .address = store->endpoints[store->endpoint],
-                          .method = "POST",
-                          .path = "/v3/kv/range",
-                          .body = body,
-                          .timeout_us = store->timeout_us,
-                          .done = on_read_done,
-                          .data = read };
-  read->call = kq_http_call (store->http, &params);
-  talloc_free (body);
+  KqHttpParams params = { .timeout_us = store->timeout_us, .done = on_read_done, .data = read };
+  KqStoreCall call = { 0 };
+  void *texts = talloc_new (read);
+  store->dialect->range (texts, &range, &call);
+  read->call = kq_store_send (store, &call, &params);
+  talloc_free (texts);
 }
 
 void *
@@ -202,7 +209,7 @@
 typedef struct
 {
   KqStore *store;
-  char *body;
+  KqStoreCall request;
   unsigned tries;
   bool reads;
   KqHttpCall *call;
@@ -254,8 +261,9 @@
   KqStoreReply reply = { 0 };
   KqStoreMessage *message = NULL;
   write->call = NULL;
-  if (result->answered && result->status == STATUS_OK)
-    message = kq_store_decode (write, result->body, result->size, NULL);
+  if (result->answered)
+    message =
+        write->store->dialect->decode (write, result->status, result->body, result->size, NULL);
   if (message == NULL)
     {
       fail_write (write, result);
@@ -276,15 +284,10 @@
 send_write (Write *write)
 {
   KqStore *store = write->store;
-  KqHttpParams params = { .address = store->endpoints[store->endpoint],
-                          .method = "POST",
-                          .path = "/v3/kv/txn",
-                          .body = write->body,
-                          .timeout_us = store->timeout_us,
-                          .fresh = !write->reads,
-                          .done = on_write_done,
-                          .data = write };
-  write->call = kq_http_call (store->http, &params);
+  KqHttpParams params = {
+    .timeout_us = store->timeout_us, .fresh = !write->reads, .done = on_write_done, .data = write
+  };
+  write->call = kq_store_send (store, &write->request, &params);
 }
 
 void
@@ -293,7 +296,7 @@
 {
   Write *write = talloc_zero (store, Write);
   write->store = store;
-  write->body = kq_store_encode_reads (write, keys, count);
+  store->dialect->reads (write, keys, count, &write->request);
   write->reads = true;
   write->done = done;
   write->data = data;
@@ -307,7 +310,7 @@
 {
   Write *write = talloc_zero (store, Write);
   write->store = store;
-  write->body = kq_store_encode_writes (write, writes, count);
+  store->dialect->writes (write, writes, count, &write->request);
   write->done = done;
   write->data = data;
   talloc_set_destructor (write, destroy_write);
--- a/src/process/store_message.c
+++ b/src/process/store_message.c
@@ -7,6 +7,9 @@
 #include "kumquat/internal/base64.h"
 #include "kumquat/internal/store_message.h"
 
+#define STATUS_OK        200
+#define RETRY_LONGEST_US (5 * KQ_SECOND) /* a pause that an outage of minutes does not feel */
+
 static json_t *
 text_json (const void *bytes, size_t size)
 {
@@ -48,8 +51,16 @@
   return value;
 }
 
-char *
-kq_store_encode_range (const void *parent, const KqStoreRange *range)
+static void
+set_call (KqStoreCall *call, const char *path, char *body)
+{
+  call->method = "POST";
+  call->path = talloc_strdup (talloc_parent (body), path);
+  call->body = body;
+}
+
+static void
+encode_range (const void *parent, const KqStoreRange *range, KqStoreCall *call)
 {
   json_t *root = json_object ();
   if (range->from != NULL)
@@ -63,7 +74,7 @@
     json_object_set_new (root, "min_mod_revision", integer_json (range->min_mod_revision));
   if (range->limit > 0)
     json_object_set_new (root, "limit", integer_json (range->limit));
-  return take_text (parent, root);
+  set_call (call, "/v3/kv/range", take_text (parent, root));
 }
 
 static json_t *
@@ -75,8 +86,8 @@
   return compare;
 }
 
-char *
-kq_store_encode_writes (const void *parent, const KqStoreWrite *writes, unsigned count)
+static void
+encode_writes (const void *parent, const KqStoreWrite *writes, unsigned count, KqStoreCall *call)
 {
   json_t *compares = json_array ();
   json_t *puts = json_array ();
@@ -93,12 +104,13 @@
       json_array_append_new (puts, json_pack ("{s:o}", "request_put", put));
       json_array_append_new (reads, json_pack ("{s:o}", "request_range", read));
     }
-  return take_text (parent, json_pack ("{s:o, s:o, s:o}", "compare", compares, "success", puts,
-                                       "failure", reads));
+  json_t *root =
+      json_pack ("{s:o, s:o, s:o}", "compare", compares, "success", puts, "failure", reads);
+  set_call (call, "/v3/kv/txn", take_text (parent, root));
 }
 
-char *
-kq_store_encode_reads (const void *parent, const char *const *keys, unsigned count)
+static void
+encode_reads (const void *parent, const char *const *keys, unsigned count, KqStoreCall *call)
 {
   json_t *reads = json_array ();
   for (unsigned i = 0; i < count; i++)
@@ -107,17 +119,17 @@
       json_object_set_new (read, "key", text_json (keys[i], strlen (keys[i])));
       json_array_append_new (reads, json_pack ("{s:o}", "request_range", read));
     }
-  return take_text (parent, json_pack ("{s:o}", "success", reads));
+  set_call (call, "/v3/kv/txn", take_text (parent, json_pack ("{s:o}", "success", reads)));
 }
 
-char *
-kq_store_encode_watch (const void *parent, const char *prefix, uint64_t start_revision)
+static void
+encode_watch (const void *parent, const char *prefix, uint64_t start_revision, KqStoreCall *call)
 {
   json_t *create = json_object ();
   json_object_set_new (create, "key", text_json (prefix, strlen (prefix)));
   json_object_set_new (create, "range_end", prefix_end (prefix));
   json_object_set_new (create, "start_revision", integer_json (start_revision));
-  return take_text (parent, json_pack ("{s:o}", "create_request", create));
+  set_call (call, "/v3/watch", take_text (parent, json_pack ("{s:o}", "create_request", create)));
 }
 
 static uint64_t
@@ -208,9 +220,14 @@
          add_present_values (message, json_object_get (root, "responses"));
 }
 
-KqStoreMessage *
-kq_store_decode (const void *parent, const char *text, size_t size, KqError *error)
+static KqStoreMessage *
+decode (const void *parent, unsigned status, const char *text, size_t size, KqError *error)
 {
+  if (status != STATUS_OK)
+    {
+      kq_error_set (error, KQ_ERROR_UNAVAILABLE, "HTTP error %u", status);
+      return NULL;
+    }
   KqStoreMessage *message = talloc_zero (parent, KqStoreMessage);
   json_t *root = json_loadb (text, size, 0, NULL);
   const json_t *result = json_object_get (root, "result");
@@ -225,3 +242,15 @@
   json_decref (root);
   return message;
 }
+
+const KqStoreDialect *
+kq_store_etcd_dialect (void)
+{
+  static const KqStoreDialect dialect = { .range = encode_range,
+                                          .reads = encode_reads,
+                                          .writes = encode_writes,
+                                          .watch = encode_watch,
+                                          .decode = decode,
+                                          .retry_longest_us = RETRY_LONGEST_US };
+  return &dialect;
+}
--- a/src/process/store_watch.c
+++ b/src/process/store_watch.c
@@ -11,9 +11,9 @@
 #include "kumquat/internal/store_client.h"
 
 #define RETRY_FIRST_US    (100 * KQ_MS)
-#define RETRY_LONGEST_US  (5 * KQ_SECOND)
 #define CHECK_INTERVAL_US (5 * KQ_SECOND)
 #define LINE_BYTES_MAX    ((size_t)64 * 1024 * 1024)
+#define STATUS_OK         200
 
 /**
  * struct KqStoreWatch - the watch of one prefix
@@ -53,6 +53,7 @@
 typedef void (*Step) (struct tevent_context *ev, struct tevent_timer *timer, struct timeval now,
                       void *data);
 
+static void on_poll_done (const KqHttpResult *result, void *data);
 static void on_check (struct tevent_context *ev, struct tevent_timer *timer, struct timeval now,
                       void *data);
 static void read_whole (KqStoreWatch *watch);
@@ -86,7 +87,8 @@
 {
   KqTime delay = jittered (watch, watch->retry_us);
   close_stream (watch);
-  watch->retry_us = watch->retry_us * 2 < RETRY_LONGEST_US ? watch->retry_us * 2 : RETRY_LONGEST_US;
+  KqTime longest = watch->store->dialect->retry_longest_us;
+  watch->retry_us = watch->retry_us * 2 < longest ? watch->retry_us * 2 : longest;
   set_timer (watch, delay, on_check);
 }
 
@@ -134,7 +136,8 @@
   if (end == NULL)
     return false;
   size_t line = (size_t)(end - watch->text);
-  KqStoreMessage *message = kq_store_decode (watch, watch->text, line, NULL);
+  KqStoreMessage *message =
+      watch->store->dialect->decode (watch, STATUS_OK, watch->text, line, NULL);
   memmove (watch->text, end + 1, size - line - 1);
   if (size - line - 1 == 0)
     TALLOC_FREE (watch->text);
@@ -205,19 +208,59 @@
 open_stream (KqStoreWatch *watch)
 {
   KqStore *store = watch->store;
-  char *body = kq_store_encode_watch (watch, watch->prefix, watch->known + 1);
-  KqHttpParams params = { .address = store->endpoints[store->endpoint],
-                          .method = "POST",
-                          .path = "/v3/watch",
-                          .body = body,
-                          .fresh = true,
-                          .chunk = on_chunk,
-                          .done = on_stream_done,
-                          .data = watch };
+  bool polls = store->dialect->poll_ms > 0;
+  KqHttpParams params = { .fresh = !polls, .done = on_stream_done, .data = watch };
+  KqStoreCall call = { 0 };
+  void *texts = talloc_new (watch);
+  if (polls)
+    {
+      params.timeout_us = store->dialect->poll_ms * KQ_MS + store->timeout_us;
+      params.done = on_poll_done;
+    }
+  else
+    params.chunk = on_chunk;
   close_stream (watch);
-  watch->stream = kq_http_call (store->http, &params);
-  talloc_free (body);
-  set_timer (watch, store->timeout_us, on_open_timeout);
+  store->dialect->watch (texts, watch->prefix, watch->known + 1, &call);
+  watch->stream = kq_store_send (store, &call, &params);
+  talloc_free (texts);
+  TALLOC_FREE (watch->timer);
+  if (!polls)
+    set_timer (watch, store->timeout_us, on_open_timeout);
+}
+
+/* The answer to a poll is the check of the stream as well: it shows the store's revision. */
+static void
+on_poll_done (const KqHttpResult *result, void *data)
+{
+  KqStoreWatch *watch = data;
+  KqStore *store = watch->store;
+  KqStoreReply reply = { 0 };
+  KqStoreMessage *message = NULL;
+  watch->stream = NULL;
+  if (result->answered)
+    message =
+        store->dialect->decode (watch, result->status, result->body, result->size, &reply.error);
+  else
+    kq_error_set (&reply.error, KQ_ERROR_UNAVAILABLE, "the store did not answer a watch: %.100s",
+                  result->failure);
+  if (message == NULL)
+    {
+      kq_store_failed (store);
+      retry (watch);
+      report_outage (watch, &reply);
+      return;
+    }
+  store->reachable = true;
+  watch->out = false;
+  watch->retry_us = RETRY_FIRST_US;
+  if (message->compacted || message->revision < watch->known)
+    read_whole (watch);
+  else if (deliver (watch, message))
+    {
+      watch->known = message->revision;
+      open_stream (watch);
+    }
+  talloc_free (message);
 }
 
 static void
@@ -294,6 +337,8 @@
   watch->timer = NULL;
   if (watch->known == 0)
     read_whole (watch);
+  else if (watch->store->dialect->poll_ms > 0)
+    open_stream (watch);
   else
     watch->read = kq_store_read_range (watch, watch->store, watch->prefix, watch->known + 1,
                                        on_check_read, watch);
--- /dev/null
+++ b/src/process/stream_agent.c
@@ -0,0 +1,432 @@
+/* An agent of a target of streams: it takes the target's reports, gives it the segments of callers
+ * that balancers hand over, and sends the target's segments straight to the callers. */
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/control.h"
+#include "kumquat/http_server.h"
+#include "kumquat/internal/clock.h"
+#include "kumquat/internal/program_parts.h"
+#include "kumquat/internal/stream_holder.h"
+#include "kumquat/internal/stream_metrics.h"
+#include "kumquat/internal/stream_process.h"
+#include "kumquat/log.h"
+#include "kumquat/program.h"
+
+#define HTTP_OK          200
+#define HTTP_INVALID     400
+#define HTTP_NOT_FOUND   404
+#define HTTP_CONFLICT    409
+#define HTTP_UNAVAILABLE 503
+#define METRICS_PATH     "/metrics"
+#define STOP_TICK_US     (50 * KQ_MS)
+
+static const KqSettingSpec specs[] = {
+  KQ_SETTING_SPEC_NAME,
+  KQ_SETTING_SPEC_FAILURE_DOMAIN,
+  { "data.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL,
+    "address that balancers send to; callers take their segments on the same port" },
+  KQ_SETTING_SPECS_CONTROL,
+  { "target.service", KQ_SETTING_TEXT, true, 1, 255, NULL,
+    "name of the service that the target serves" },
+  { "target.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL, "where the target takes segments" },
+  { "target.segments_address", KQ_SETTING_ADDRESS, true, 0, 0, NULL,
+    "address that the target sends its segments to" },
+  { "target.reports_address", KQ_SETTING_ADDRESS, true, 0, 0, NULL,
+    "address that the target reports to" },
+  { "http.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL,
+    "address of the readiness check and of /metrics" },
+  { "shutdown.drain_ms", KQ_SETTING_INTEGER, false, 0, 600000, "1500",
+    "milliseconds that a process which is told to stop waits for running requests" },
+};
+
+/**
+ * struct StreamAgent - one process
+ * @refused: the kernel said that nobody listens at the target's address
+ * @stop_at: when it ends at the latest; 0 while it is not told to stop
+ */
+typedef struct
+{
+  const KqStreamAdapter *adapter;
+  KqProgram *program;
+  struct tevent_context *ev;
+  const KqSettings *settings;
+  KqStreamHolder *holder;
+  KqControl *control;
+  KqHttpServer *reports;
+  KqHttpServer *http;
+  KqMetrics *metrics;
+  KqStreamSocket data;
+  KqStreamSocket target;
+  KqStreamSocket segments;
+  uint16_t callers_port;
+  uint32_t service;
+  KqTimer *timer;
+  KqTimer *stop_timer;
+  KqTime stop_at;
+  bool refused;
+  uint64_t malformed;
+} StreamAgent;
+
+static void
+update_phase (StreamAgent *agent)
+{
+  KqTargetState state = kq_stream_holder_target (agent->holder)->report.state;
+  KqTargetPhase phase = KQ_PHASE_STARTING;
+  if (kq_stream_holder_takes_new (agent->holder))
+    phase = KQ_PHASE_SERVING;
+  else if (state != KQ_TARGET_UNKNOWN)
+    phase = KQ_PHASE_DRAINING;
+  if (phase != kq_control_self (agent->control)->phase)
+    kq_control_set_phase (agent->control, phase);
+}
+
+static void
+settled (void *data)
+{
+  StreamAgent *agent = data;
+  if (agent->refused)
+    kq_stream_holder_unreachable (agent->holder, kq_clock_now ());
+  agent->refused = false;
+  kq_timer_set (agent->timer, kq_stream_holder_next_tick (agent->holder));
+}
+
+static void
+on_tick (void *data)
+{
+  StreamAgent *agent = data;
+  kq_stream_holder_tick (agent->holder, kq_clock_now ());
+  settled (agent);
+}
+
+static void
+refuse_malformed (StreamAgent *agent, const KqAddress *from, const KqError *error)
+{
+  char address[KQ_ADDRESS_TEXT_BYTES];
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  agent->malformed++;
+  kq_log (LOG_WARNING, "segment-malformed", "from=%s error=%s", kq_address_format (from, address),
+          kq_log_quote (error->message, quoted));
+}
+
+static void
+take_frame (const KqAddress *from, const uint8_t *bytes, size_t size, void *data)
+{
+  StreamAgent *agent = data;
+  KqStreamFrame frame;
+  KqSegment segment = { 0 };
+  KqError error = { 0 };
+  if (kq_stream_frame_decode (bytes, size, &frame, &error) < 0 ||
+      (frame.segment != NULL && agent->adapter->codec->decode (frame.segment, frame.segment_size,
+                                                               false, &segment, &error) < 0))
+    {
+      refuse_malformed (agent, from, &error);
+      return;
+    }
+  if (frame.segment != NULL)
+    frame.key = segment.key;
+  kq_stream_holder_frame (agent->holder, from, &frame, &segment, kq_clock_now ());
+}
+
+static void
+take_segment (const KqAddress *from, const uint8_t *bytes, size_t size, void *data)
+{
+  StreamAgent *agent = data;
+  KqSegment segment;
+  KqError error = { 0 };
+  if (agent->adapter->codec->decode (bytes, size, true, &segment, &error) < 0)
+    {
+      refuse_malformed (agent, from, &error);
+      return;
+    }
+  kq_stream_holder_segment (agent->holder, &segment, kq_clock_now ());
+}
+
+/* A target sends nothing to the socket on which it takes segments. */
+static void
+take_stray (const KqAddress *from, const uint8_t *bytes, size_t size, void *data)
+{
+  StreamAgent *agent = data;
+  (void)from;
+  (void)bytes;
+  (void)size;
+  agent->malformed++;
+}
+
+static void
+target_refused (void *data)
+{
+  StreamAgent *agent = data;
+  agent->refused = true;
+}
+
+static void
+answer_balancer (const KqAddress *to, const KqStreamFrame *frame, void *data)
+{
+  StreamAgent *agent = data;
+  kq_stream_send_frame (&agent->data, to, frame);
+}
+
+static void
+deliver (const uint8_t *bytes, size_t size, uint32_t tag, void *data)
+{
+  StreamAgent *agent = data;
+  uint8_t copy[KQ_SEGMENT_BYTES];
+  if (tag != 0 && size <= sizeof copy)
+    {
+      memcpy (copy, bytes, size);
+      agent->adapter->codec->set_tag (copy, tag);
+      bytes = copy;
+    }
+  kq_stream_socket_send (&agent->target, NULL, bytes, size);
+}
+
+static void
+send_to_caller (const KqStreamKey *key, const uint8_t *bytes, size_t size, void *data)
+{
+  StreamAgent *agent = data;
+  KqAddress to = kq_ipv4_address (key->caller_ip, agent->callers_port);
+  kq_stream_socket_send (&agent->data, &to, bytes, size);
+}
+
+static KqTime
+age_of (const KqTargetReport *report)
+{
+  KqTime now_ms = (KqTime)(kq_clock_wall_us () / 1000);
+  if (report->born_ms == 0)
+    return -1;
+  return (now_ms - (KqTime)report->born_ms) * KQ_MS;
+}
+
+/* Return: status of the answer. */
+static unsigned
+take_report (StreamAgent *agent, const KqTargetReport *report)
+{
+  if (report->service != agent->service && report->state != KQ_TARGET_GONE)
+    {
+      kq_log (LOG_WARNING, "report-refused", "target=%s reason=\"it serves another service\"",
+              report->id);
+      return HTTP_CONFLICT;
+    }
+  KqTargetChange change =
+      kq_stream_holder_report (agent->holder, report, age_of (report), kq_clock_now ());
+  if (change == KQ_TARGET_CHANGED || change == KQ_TARGET_REBORN)
+    kq_log (LOG_NOTICE, "target-state", "target=%s state=%s life=%s born_ms=%llu sequence=%llu",
+            report->id, kq_target_state_name (report->state),
+            change == KQ_TARGET_REBORN ? "new" : "same", (unsigned long long)report->born_ms,
+            (unsigned long long)report->sequence);
+  if (change == KQ_TARGET_LATE)
+    kq_log (LOG_INFO, "report-late", "target=%s state=%s born_ms=%llu sequence=%llu", report->id,
+            kq_target_state_name (report->state), (unsigned long long)report->born_ms,
+            (unsigned long long)report->sequence);
+  update_phase (agent);
+  settled (agent);
+  return HTTP_OK;
+}
+
+static void
+answer_report (KqHttpRequest *request, const char *method, const char *path, const char *body,
+               size_t size, void *data)
+{
+  StreamAgent *agent = data;
+  KqTargetReport report;
+  KqError error = { 0 };
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  unsigned status;
+  if (agent->adapter->decode_report (method, path, body, size, &report, &error) == 0)
+    status = take_report (agent, &report);
+  else
+    {
+      kq_log (LOG_WARNING, "report-refused", "error=%s", kq_log_quote (error.message, quoted));
+      status = error.kind == KQ_ERROR_NOT_FOUND ? HTTP_NOT_FOUND : HTTP_INVALID;
+    }
+  kq_http_respond (request, status, "application/json", "{}", 2);
+}
+
+static void
+answer_http (KqHttpRequest *request, const char *method, const char *path, const char *body,
+             size_t size, void *data)
+{
+  StreamAgent *agent = data;
+  bool get = strcmp (method, "GET") == 0;
+  (void)body;
+  (void)size;
+  if (get && strcmp (path, agent->adapter->ready_path) == 0)
+    kq_http_respond (request, agent->stop_at == 0 ? HTTP_OK : HTTP_UNAVAILABLE, "application/json",
+                     "{}", 2);
+  else if (get && strcmp (path, METRICS_PATH) == 0)
+    {
+      KqStreamHolderStats stats = kq_stream_holder_stats (agent->holder);
+      KqTargetLoad load = kq_stream_holder_load (agent->holder);
+      kq_stream_metrics_holder (agent->metrics, &stats, &load,
+                                kq_stream_holder_target (agent->holder), agent->malformed);
+      kq_stream_metrics_respond (request, agent->metrics, agent->control);
+    }
+  else
+    kq_http_respond (request, HTTP_NOT_FOUND, "application/json", "{}", 2);
+}
+
+static void
+members_changed (void *data)
+{
+  (void)data;
+}
+
+static void
+document_changed (const KqDocument *document, void *data)
+{
+  (void)document;
+  (void)data;
+}
+
+static void
+woke (uint64_t incarnation, void *data)
+{
+  (void)data;
+  kq_log (LOG_WARNING, "woke-after-pause", "incarnation=%llu", (unsigned long long)incarnation);
+}
+
+static int
+start_control (StreamAgent *agent, KqError *error)
+{
+  static const KqControlOps ops = { .members_changed = members_changed,
+                                    .document_changed = document_changed,
+                                    .woke = woke };
+  KqControlParams params = { 0 };
+  KqAddress data = kq_settings_address (agent->settings, "data.address");
+  kq_program_control_params (agent->settings, &params);
+  kq_program_fill_self (&params.self, KQ_ROLE_AGENT, kq_settings_text (agent->settings, "name"),
+                        kq_settings_text (agent->settings, "failure_domain"), &data);
+  params.self.service = agent->service;
+  agent->control = kq_control_new (agent, agent->ev, &params, &ops, agent, error);
+  return agent->control == NULL ? -1 : 0;
+}
+
+static int
+open_servers (StreamAgent *agent, KqError *error)
+{
+  KqAddress reports = kq_settings_address (agent->settings, "target.reports_address");
+  KqAddress http = kq_settings_address (agent->settings, "http.address");
+  agent->reports = kq_http_server_new (agent, agent->ev, &reports, answer_report, agent, error);
+  if (agent->reports == NULL)
+    return -1;
+  agent->http = kq_http_server_new (agent, agent->ev, &http, answer_http, agent, error);
+  return agent->http == NULL ? -1 : 0;
+}
+
+static int
+open_sockets (StreamAgent *agent, KqError *error)
+{
+  KqAddress data = kq_settings_address (agent->settings, "data.address");
+  KqAddress target = kq_settings_address (agent->settings, "target.address");
+  KqAddress segments = kq_settings_address (agent->settings, "target.segments_address");
+  agent->data = (KqStreamSocket){ .receive = take_frame, .settled = settled };
+  agent->segments = (KqStreamSocket){ .receive = take_segment, .settled = settled };
+  agent->target =
+      (KqStreamSocket){ .receive = take_stray, .failed = target_refused, .settled = settled };
+  agent->data.data = agent;
+  agent->segments.data = agent;
+  agent->target.data = agent;
+  if (kq_stream_socket_open (agent, agent->ev, &agent->target, NULL, &target, error) < 0 ||
+      kq_stream_socket_open (agent, agent->ev, &agent->segments, &segments, NULL, error) < 0)
+    return -1;
+  return kq_stream_socket_open (agent, agent->ev, &agent->data, &data, NULL, error);
+}
+
+static void
+on_stop (void *data)
+{
+  StreamAgent *agent = data;
+  KqTime now = kq_clock_now ();
+  if (now < agent->stop_at && kq_stream_holder_load (agent->holder).running > 0)
+    {
+      kq_timer_set (agent->stop_timer, now + STOP_TICK_US);
+      return;
+    }
+  kq_control_leave (agent->control);
+  kq_program_quit (agent->program, KQ_EXIT_OK);
+}
+
+static int
+start_holder (StreamAgent *agent, KqError *error)
+{
+  static const KqStreamHolderOps ops = { .answer = answer_balancer,
+                                         .deliver = deliver,
+                                         .to_caller = send_to_caller,
+                                         .event = kq_stream_log_event };
+  KqStreamHolderParams params = { .agent =
+                                      kq_hash_name (kq_settings_text (agent->settings, "name")),
+                                  .service = agent->service };
+  agent->holder = kq_stream_holder_new (agent, &params, &ops, agent, kq_clock_now ());
+  agent->metrics = kq_metrics_new (agent);
+  agent->timer = kq_timer_new (agent, agent->ev, on_tick, agent, error);
+  agent->stop_timer = kq_timer_new (agent, agent->ev, on_stop, agent, error);
+  if (agent->holder == NULL || agent->metrics == NULL)
+    return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for streams; raise the limit");
+  return agent->timer == NULL || agent->stop_timer == NULL ? -1 : 0;
+}
+
+static void *
+start (KqProgram *program, struct tevent_context *ev, const KqSettings *settings, KqError *error)
+{
+  StreamAgent *agent = talloc_zero (program, StreamAgent);
+  agent->adapter = kq_program_data (program);
+  agent->program = program;
+  agent->ev = ev;
+  agent->settings = settings;
+  agent->callers_port = kq_settings_address (settings, "data.address").port;
+  agent->service = kq_service_number (kq_settings_text (settings, "target.service"));
+  if (start_holder (agent, error) < 0 || start_control (agent, error) < 0 ||
+      open_sockets (agent, error) < 0 || open_servers (agent, error) < 0)
+    {
+      talloc_free (agent);
+      return NULL;
+    }
+  return agent;
+}
+
+static void
+stop (void *state)
+{
+  StreamAgent *agent = state;
+  KqTime now = kq_clock_now ();
+  agent->stop_at = now + kq_settings_integer (agent->settings, "shutdown.drain_ms") * KQ_MS;
+  kq_stream_holder_leave (agent->holder);
+  update_phase (agent);
+  kq_timer_set (agent->stop_timer, now + STOP_TICK_US);
+}
+
+static void
+reload (void *state, const KqSettings *settings)
+{
+  StreamAgent *agent = state;
+  KqControlParams params = { 0 };
+  agent->settings = settings;
+  kq_program_control_params (settings, &params);
+  kq_program_set_control_keys (agent->control, &params);
+}
+
+static int
+check (const KqSettings *settings, const char *path, KqError *error)
+{
+  return kq_program_check_control (settings, path, error);
+}
+
+int
+kq_stream_agent_main (int argc, const char **argv, const KqStreamAdapter *adapter)
+{
+  KqProgramOps ops = {
+    .name = "kumquat-agent",
+    .summary = "runs beside a target of streams: decides what it takes and knows what it holds",
+    .specs = specs,
+    .spec_count = sizeof specs / sizeof specs[0],
+    .check = check,
+    .start = start,
+    .stop = stop,
+    .reload = reload,
+    .data = adapter,
+  };
+  return kq_program_run (&ops, argc, argv);
+}
--- /dev/null
+++ b/src/process/stream_balancer.c
@@ -0,0 +1,436 @@
+/* A balancer of streams: it takes callers' segments, gives them to agents, and follows membership
+ * and the configuration. Targets' segments go from the agents straight to the callers. */
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/control.h"
+#include "kumquat/http_server.h"
+#include "kumquat/internal/clock.h"
+#include "kumquat/internal/program_parts.h"
+#include "kumquat/internal/stream_metrics.h"
+#include "kumquat/internal/stream_process.h"
+#include "kumquat/internal/stream_router.h"
+#include "kumquat/log.h"
+#include "kumquat/program.h"
+#include "kumquat/store.h"
+
+#define HTTP_OK          200
+#define HTTP_NOT_FOUND   404
+#define HTTP_UNAVAILABLE 503
+#define METRICS_PATH     "/metrics"
+#define RESET_BYTES      64
+#define READY_LATEST_US                                                                            \
+  (3 * KQ_SECOND) /* with routes and no target it refuses, which is an answer */
+
+static const KqSettingSpec specs[] = {
+  KQ_SETTING_SPEC_NAME,
+  KQ_SETTING_SPEC_FAILURE_DOMAIN,
+  { "callers.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL,
+    "address that the fabric sends callers' segments to" },
+  { "data.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL, "address that agents answer to" },
+  KQ_SETTING_SPECS_CONTROL,
+  { "store.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL, "address of the platform's store" },
+  { "store.timeout_ms", KQ_SETTING_INTEGER, false, 50, 60000, "1000",
+    "milliseconds that one call to the store may take, the wait of a watch not counted" },
+  { "http.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL,
+    "address of the readiness check and of /metrics" },
+  { "shutdown.forward_ms", KQ_SETTING_INTEGER, false, 0, 600000, "4500",
+    "milliseconds that a process which is told to stop goes on forwarding" },
+};
+
+/**
+ * struct StreamBalancer - one process
+ * @watching: the store is watched
+ * @stopping: told to stop
+ * @ready: what the last readiness check was answered
+ */
+typedef struct
+{
+  const KqStreamAdapter *adapter;
+  KqProgram *program;
+  struct tevent_context *ev;
+  const KqSettings *settings;
+  KqStreamRouter *router;
+  KqControl *control;
+  KqStore *store;
+  KqHttpServer *http;
+  KqMetrics *metrics;
+  KqStreamSocket callers;
+  KqStreamSocket data;
+  KqAddress callers_address;
+  KqTimer *timer;
+  KqTimer *stop_timer;
+  KqTime started_at;
+  bool watching;
+  bool stopping;
+  bool ready;
+  uint64_t malformed;
+} StreamBalancer;
+
+static void
+set_timer (StreamBalancer *balancer)
+{
+  kq_timer_set (balancer->timer, kq_stream_router_next_tick (balancer->router));
+}
+
+static void
+settled (void *data)
+{
+  set_timer (data);
+}
+
+static void
+on_tick (void *data)
+{
+  StreamBalancer *balancer = data;
+  kq_stream_router_tick (balancer->router, kq_clock_now ());
+  set_timer (balancer);
+}
+
+static void
+refuse_malformed (StreamBalancer *balancer, const KqAddress *from, const KqError *error)
+{
+  char address[KQ_ADDRESS_TEXT_BYTES];
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  balancer->malformed++;
+  kq_log (LOG_WARNING, "segment-malformed", "from=%s error=%s", kq_address_format (from, address),
+          kq_log_quote (error->message, quoted));
+}
+
+static void
+take_segment (const KqAddress *from, const uint8_t *bytes, size_t size, void *data)
+{
+  StreamBalancer *balancer = data;
+  KqSegment segment;
+  KqError error = { 0 };
+  if (balancer->adapter->codec->decode (bytes, size, false, &segment, &error) < 0)
+    {
+      refuse_malformed (balancer, from, &error);
+      return;
+    }
+  kq_stream_router_segment (balancer->router, &segment, kq_clock_now ());
+}
+
+static void
+take_frame (const KqAddress *from, const uint8_t *bytes, size_t size, void *data)
+{
+  StreamBalancer *balancer = data;
+  KqStreamFrame frame;
+  KqError error = { 0 };
+  if (kq_stream_frame_decode (bytes, size, &frame, &error) < 0)
+    {
+      refuse_malformed (balancer, from, &error);
+      return;
+    }
+  kq_stream_router_frame (balancer->router, &frame, kq_clock_now ());
+}
+
+static void
+send_frame (const KqAddress *to, const KqStreamFrame *frame, void *data)
+{
+  StreamBalancer *balancer = data;
+  kq_stream_send_frame (&balancer->data, to, frame);
+}
+
+static void
+send_reset (const KqStreamKey *key, uint32_t sequence, void *data)
+{
+  StreamBalancer *balancer = data;
+  uint8_t bytes[RESET_BYTES];
+  KqAddress to = kq_ipv4_address (key->caller_ip, balancer->callers_address.port);
+  size_t size = balancer->adapter->codec->encode_reset (key, sequence, bytes);
+  kq_stream_socket_send (&balancer->callers, &to, bytes, size);
+}
+
+/* Return: whether the configuration was newer than the one in use. */
+static bool
+use_routes (StreamBalancer *balancer, const uint8_t *bytes, size_t size, const char *source)
+{
+  KqError error = { 0 };
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  const KqRouteTable *before = kq_stream_router_routes (balancer->router);
+  unsigned long long old = before == NULL ? 0 : before->version;
+  KqRouteTable *routes =
+      balancer->adapter->decode_routes (balancer, (const char *)bytes, size, &error);
+  if (routes == NULL)
+    {
+      kq_log (LOG_ERR, "configuration-refused", "source=%s error=%s", source,
+              kq_log_quote (error.message, quoted));
+      return false;
+    }
+  unsigned long long version = routes->version;
+  unsigned count = routes->count;
+  if (!kq_stream_router_set_routes (balancer->router, routes, kq_clock_now ()))
+    return false;
+  kq_log (LOG_NOTICE, "configuration-in-force", "source=%s version=%llu before=%llu routes=%u",
+          source, version, old, count);
+  return true;
+}
+
+static void
+trust_routes (StreamBalancer *balancer)
+{
+  kq_stream_router_trust_routes (balancer->router,
+                                 !balancer->watching || kq_store_reachable (balancer->store));
+}
+
+static void
+store_changed (const KqStoreReply *reply, void *data)
+{
+  StreamBalancer *balancer = data;
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  trust_routes (balancer);
+  if (reply->error.kind != KQ_ERROR_NONE)
+    {
+      kq_log (LOG_WARNING, "store-unreachable", "error=%s",
+              kq_log_quote (reply->error.message, quoted));
+      return;
+    }
+  for (unsigned i = 0; i < reply->count; i++)
+    {
+      const KqStoreValue *value = &reply->values[i];
+      if (strcmp (value->key, balancer->adapter->routes_key) != 0 || value->mod_revision == 0 ||
+          !use_routes (balancer, value->bytes, value->size, "store"))
+        continue;
+      KqDocument document = { .service = KQ_ROUTES_DOCUMENT,
+                              .revision = { KQ_ROUTES_EPOCH, value->mod_revision },
+                              .bytes = value->bytes,
+                              .size = value->size };
+      KqError error = { 0 };
+      if (kq_control_publish (balancer->control, &document, &error) < 0)
+        kq_log (LOG_WARNING, "configuration-not-spread", "error=%s",
+                kq_log_quote (error.message, quoted));
+    }
+}
+
+static void
+document_changed (const KqDocument *document, void *data)
+{
+  StreamBalancer *balancer = data;
+  if (document->service == KQ_ROUTES_DOCUMENT)
+    use_routes (balancer, document->bytes, document->size, "peer");
+}
+
+/* Few balancers of a failure domain watch the store. One that has no configuration yet does so as
+ * well, since a peer may know no more than it. */
+static void
+update_watch (StreamBalancer *balancer)
+{
+  bool wanted = !balancer->stopping && (kq_control_is_watcher (balancer->control) ||
+                                        kq_stream_router_routes (balancer->router) == NULL);
+  if (wanted == balancer->watching)
+    return;
+  balancer->watching = wanted;
+  kq_log (LOG_INFO, wanted ? "watch-started" : "watch-ended", "key=%s",
+          balancer->adapter->routes_key);
+  if (wanted)
+    kq_store_watch (balancer->store, balancer->adapter->routes_key, store_changed, balancer);
+  else
+    kq_store_unwatch (balancer->store);
+}
+
+static void
+members_changed (void *data)
+{
+  StreamBalancer *balancer = data;
+  unsigned count;
+  if (balancer->control == NULL || balancer->store == NULL)
+    return;
+  const KqMember *members = kq_control_members (balancer->control, &count);
+  kq_stream_router_set_members (balancer->router, members, count, kq_clock_now ());
+  update_watch (balancer);
+  trust_routes (balancer);
+}
+
+static void
+woke (uint64_t incarnation, void *data)
+{
+  (void)data;
+  kq_log (LOG_WARNING, "woke-after-pause", "incarnation=%llu", (unsigned long long)incarnation);
+}
+
+static bool
+has_target (const StreamBalancer *balancer)
+{
+  unsigned count;
+  const KqMember *members = kq_control_members (balancer->control, &count);
+  for (unsigned i = 0; i < count; i++)
+    if (members[i].role == KQ_ROLE_AGENT && members[i].phase == KQ_PHASE_SERVING)
+      return true;
+  return false;
+}
+
+static bool
+is_ready (const StreamBalancer *balancer)
+{
+  if (balancer->stopping || kq_stream_router_routes (balancer->router) == NULL)
+    return false;
+  return has_target (balancer) || kq_clock_now () - balancer->started_at >= READY_LATEST_US;
+}
+
+static void
+answer_ready (StreamBalancer *balancer, KqHttpRequest *request)
+{
+  static const char empty[] = "{}";
+  bool ready = is_ready (balancer);
+  if (ready != balancer->ready)
+    kq_log (LOG_NOTICE, ready ? "ready" : "not-ready", "stopping=%s routes=%s",
+            balancer->stopping ? "yes" : "no",
+            kq_stream_router_routes (balancer->router) == NULL ? "none" : "known");
+  balancer->ready = ready;
+  kq_http_respond (request, ready ? HTTP_OK : HTTP_UNAVAILABLE, "application/json", empty,
+                   sizeof empty - 1);
+}
+
+static void
+answer_http (KqHttpRequest *request, const char *method, const char *path, const char *body,
+             size_t size, void *data)
+{
+  StreamBalancer *balancer = data;
+  (void)body;
+  (void)size;
+  if (strcmp (method, "GET") == 0 && strcmp (path, balancer->adapter->ready_path) == 0)
+    answer_ready (balancer, request);
+  else if (strcmp (method, "GET") == 0 && strcmp (path, METRICS_PATH) == 0)
+    {
+      KqStreamRouterStats stats = kq_stream_router_stats (balancer->router);
+      const KqRouteTable *routes = kq_stream_router_routes (balancer->router);
+      kq_stream_metrics_router (balancer->metrics, &stats, routes, balancer->malformed);
+      kq_stream_metrics_respond (request, balancer->metrics, balancer->control);
+    }
+  else
+    kq_http_respond (request, HTTP_NOT_FOUND, "application/json", "{}", 2);
+}
+
+static void
+on_stop (void *data)
+{
+  StreamBalancer *balancer = data;
+  kq_control_leave (balancer->control);
+  kq_program_quit (balancer->program, KQ_EXIT_OK);
+}
+
+static int
+start_control (StreamBalancer *balancer, KqError *error)
+{
+  static const KqControlOps ops = { .members_changed = members_changed,
+                                    .document_changed = document_changed,
+                                    .woke = woke };
+  KqControlParams params = { 0 };
+  KqAddress data = kq_settings_address (balancer->settings, "data.address");
+  kq_program_control_params (balancer->settings, &params);
+  kq_program_fill_self (&params.self, KQ_ROLE_BALANCER,
+                        kq_settings_text (balancer->settings, "name"),
+                        kq_settings_text (balancer->settings, "failure_domain"), &data);
+  balancer->control = kq_control_new (balancer, balancer->ev, &params, &ops, balancer, error);
+  return balancer->control == NULL ? -1 : 0;
+}
+
+static int
+open_sockets (StreamBalancer *balancer, KqError *error)
+{
+  const KqSettings *settings = balancer->settings;
+  KqAddress data = kq_settings_address (settings, "data.address");
+  KqAddress http = kq_settings_address (settings, "http.address");
+  balancer->callers_address = kq_settings_address (settings, "callers.address");
+  balancer->callers = (KqStreamSocket){ .receive = take_segment, .settled = settled };
+  balancer->data = (KqStreamSocket){ .receive = take_frame, .settled = settled };
+  balancer->callers.data = balancer;
+  balancer->data.data = balancer;
+  if (kq_stream_socket_open (balancer, balancer->ev, &balancer->data, &data, NULL, error) < 0 ||
+      kq_stream_socket_open (balancer, balancer->ev, &balancer->callers, &balancer->callers_address,
+                             NULL, error) < 0)
+    return -1;
+  balancer->http = kq_http_server_new (balancer, balancer->ev, &http, answer_http, balancer, error);
+  return balancer->http == NULL ? -1 : 0;
+}
+
+static int
+start_store (StreamBalancer *balancer, KqError *error)
+{
+  KqAddress address = kq_settings_address (balancer->settings, "store.address");
+  KqTime timeout = kq_settings_integer (balancer->settings, "store.timeout_ms") * KQ_MS;
+  balancer->store =
+      kq_store_new (balancer, balancer->ev, &address, 1, timeout, balancer->adapter->store, error);
+  return balancer->store == NULL ? -1 : 0;
+}
+
+static int
+start_router (StreamBalancer *balancer, KqError *error)
+{
+  static const KqStreamRouterOps ops = { .send = send_frame,
+                                         .reset = send_reset,
+                                         .event = kq_stream_log_event };
+  const char *domain = kq_settings_text (balancer->settings, "failure_domain");
+  balancer->router = kq_stream_router_new (balancer, domain, &ops, balancer);
+  balancer->metrics = kq_metrics_new (balancer);
+  balancer->timer = kq_timer_new (balancer, balancer->ev, on_tick, balancer, error);
+  balancer->stop_timer = kq_timer_new (balancer, balancer->ev, on_stop, balancer, error);
+  if (balancer->router == NULL || balancer->metrics == NULL)
+    return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for streams; raise the limit");
+  return balancer->timer == NULL || balancer->stop_timer == NULL ? -1 : 0;
+}
+
+static void *
+start (KqProgram *program, struct tevent_context *ev, const KqSettings *settings, KqError *error)
+{
+  StreamBalancer *balancer = talloc_zero (program, StreamBalancer);
+  balancer->adapter = kq_program_data (program);
+  balancer->program = program;
+  balancer->ev = ev;
+  balancer->settings = settings;
+  balancer->started_at = kq_clock_now ();
+  if (start_router (balancer, error) < 0 || start_store (balancer, error) < 0 ||
+      start_control (balancer, error) < 0 || open_sockets (balancer, error) < 0)
+    {
+      talloc_free (balancer);
+      return NULL;
+    }
+  update_watch (balancer);
+  return balancer;
+}
+
+static void
+stop (void *state)
+{
+  StreamBalancer *balancer = state;
+  KqTime forward = kq_settings_integer (balancer->settings, "shutdown.forward_ms") * KQ_MS;
+  balancer->stopping = true;
+  update_watch (balancer);
+  kq_timer_set (balancer->stop_timer, kq_clock_now () + forward);
+}
+
+static void
+reload (void *state, const KqSettings *settings)
+{
+  StreamBalancer *balancer = state;
+  KqControlParams params = { 0 };
+  balancer->settings = settings;
+  kq_program_control_params (settings, &params);
+  kq_program_set_control_keys (balancer->control, &params);
+}
+
+static int
+check (const KqSettings *settings, const char *path, KqError *error)
+{
+  return kq_program_check_control (settings, path, error);
+}
+
+int
+kq_stream_balancer_main (int argc, const char **argv, const KqStreamAdapter *adapter)
+{
+  KqProgramOps ops = {
+    .name = "kumquat-balancer",
+    .summary = "takes callers' segments and gives each stream to a target of its service",
+    .specs = specs,
+    .spec_count = sizeof specs / sizeof specs[0],
+    .check = check,
+    .start = start,
+    .stop = stop,
+    .reload = reload,
+    .data = adapter,
+  };
+  return kq_program_run (&ops, argc, argv);
+}
--- /dev/null
+++ b/src/process/stream_metrics.c
@@ -0,0 +1,114 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/stream_metrics.h"
+
+#define HTTP_OK   200
+#define TEXT_TYPE "text/plain; version=0.0.4"
+
+static void
+set_counter (KqMetrics *metrics, const char *name, const char *help, uint64_t value)
+{
+  kq_metric_set (kq_metrics_counter (metrics, name, help, NULL), (int64_t)value);
+}
+
+static void
+set_gauge (KqMetrics *metrics, const char *name, const char *help, uint64_t value)
+{
+  kq_metric_set (kq_metrics_gauge (metrics, name, help, NULL), (int64_t)value);
+}
+
+void
+kq_stream_metrics_router (KqMetrics *metrics, const KqStreamRouterStats *stats,
+                          const KqRouteTable *routes, uint64_t malformed)
+{
+  set_gauge (metrics, "kumquat_config_version", "Version of the configuration in use; 0 for none.",
+             routes == NULL ? 0 : routes->version);
+  set_gauge (metrics, "kumquat_routes", "Routes of the configuration in use.",
+             routes == NULL ? 0 : routes->count);
+  set_gauge (metrics, "kumquat_streams", "Streams known.", stats->streams);
+  set_counter (metrics, "kumquat_segments_total", "Segments of callers.", stats->segments);
+  set_counter (metrics, "kumquat_segments_malformed_total", "Datagrams that are no segments.",
+               malformed);
+  set_counter (metrics, "kumquat_segments_dropped_total", "Segments that nobody could take.",
+               stats->dropped);
+  set_counter (metrics, "kumquat_streams_opened_total", "Streams that a target took.",
+               stats->opened);
+  set_counter (metrics, "kumquat_offers_total", "Offers of new streams to agents.", stats->offers);
+  set_counter (metrics, "kumquat_offers_declined_total", "Offers that an agent declined.",
+               stats->declined);
+  set_counter (metrics, "kumquat_offers_unanswered_total", "Offers without an answer in time.",
+               stats->unanswered);
+  set_counter (metrics, "kumquat_streams_refused_total", "New streams refused, not run.",
+               stats->refused);
+  set_counter (metrics, "kumquat_segments_without_route_total", "Segments to unknown addresses.",
+               stats->no_route);
+  set_counter (metrics, "kumquat_searches_total", "Searches for the holder of a stream.",
+               stats->searches);
+  set_counter (metrics, "kumquat_streams_found_total", "Streams whose holder was found.",
+               stats->found);
+  set_counter (metrics, "kumquat_streams_lost_total", "Streams that nobody held.", stats->lost);
+}
+
+static void
+set_declined (KqMetrics *metrics, const KqStreamHolderStats *stats)
+{
+  for (unsigned i = KQ_REFUSAL_NONE + 1; i <= KQ_REFUSAL_UNKNOWN; i++)
+    {
+      KqMetric *metric = kq_metrics_counter (metrics, "kumquat_declined_total",
+                                             "Answers that declined, by reason.", "reason",
+                                             kq_stream_refusal_name ((KqStreamRefusal)i), NULL);
+      kq_metric_set (metric, (int64_t)stats->declined[i]);
+    }
+}
+
+void
+kq_stream_metrics_holder (KqMetrics *metrics, const KqStreamHolderStats *stats,
+                          const KqTargetLoad *load, const KqTargetLife *life, uint64_t malformed)
+{
+  set_declined (metrics, stats);
+  set_gauge (metrics, "kumquat_target_ready", "Whether the target takes new streams.",
+             life->report.state == KQ_TARGET_READY);
+  set_gauge (metrics, "kumquat_target_running", "Requests that run or are about to.",
+             load->running);
+  set_gauge (metrics, "kumquat_target_slots", "Requests that the target runs at once.",
+             load->slots);
+  set_gauge (metrics, "kumquat_target_waiting", "New streams that wait for a slot.", load->waiting);
+  set_gauge (metrics, "kumquat_target_service_us", "Time of a request, smoothed, in microseconds.",
+             load->service_us);
+  set_gauge (metrics, "kumquat_streams", "Streams known.", stats->streams);
+  set_counter (metrics, "kumquat_streams_opened_total", "Streams that a target took.",
+               stats->opened);
+  set_counter (metrics, "kumquat_streams_waited_total", "Streams that waited for a slot.",
+               stats->waited);
+  set_counter (metrics, "kumquat_streams_learnt_total",
+               "Streams that the target held before this agent knew them.", stats->learnt);
+  set_counter (metrics, "kumquat_streams_gone_total", "Streams that the target no longer holds.",
+               stats->gone);
+  set_counter (metrics, "kumquat_requests_total", "Requests that the target answered.",
+               stats->requests);
+  set_counter (metrics, "kumquat_probes_total", "Segments given to the target to find a stream.",
+               stats->probed);
+  set_counter (metrics, "kumquat_segments_bounced_total", "Segments that the target returned.",
+               stats->bounced);
+  set_counter (metrics, "kumquat_segments_to_target_total", "Segments given to the target.",
+               stats->to_target);
+  set_counter (metrics, "kumquat_segments_to_callers_total", "Segments of the target.",
+               stats->to_callers);
+  set_counter (metrics, "kumquat_frames_misdirected_total", "Frames for another service or agent.",
+               stats->misdirected);
+  set_counter (metrics, "kumquat_segments_malformed_total", "Datagrams that are no segments.",
+               malformed);
+}
+
+void
+kq_stream_metrics_respond (KqHttpRequest *request, KqMetrics *metrics, const KqControl *control)
+{
+  char *own = kq_metrics_format (metrics, metrics);
+  char *spread = kq_control_metrics (metrics, control);
+  char *text = talloc_asprintf (metrics, "%s%s", own, spread);
+  kq_http_respond (request, HTTP_OK, TEXT_TYPE, text, strlen (text));
+  talloc_free (text);
+  talloc_free (spread);
+  talloc_free (own);
+}
--- a/src/process/udp_socket.c
+++ b/src/process/udp_socket.c
@@ -8,13 +8,6 @@
 
 #define SOCKET_BUFFER_BYTES (4 * 1024 * 1024)
 
-typedef union
-{
-  struct sockaddr any;
-  struct sockaddr_in v4;
-  struct sockaddr_in6 v6;
-} SocketAddress;
-
 static bool
 is_v4 (const KqAddress *address)
 {
@@ -22,8 +15,8 @@
   return memcmp (address->ip, prefix, sizeof prefix) == 0;
 }
 
-static socklen_t
-to_socket (const KqAddress *address, SocketAddress *out)
+socklen_t
+kq_socket_address (const KqAddress *address, KqSocketAddress *out)
 {
   memset (out, 0, sizeof *out);
   if (is_v4 (address))
@@ -39,8 +32,8 @@
   return sizeof out->v6;
 }
 
-static void
-from_socket (const SocketAddress *in, KqAddress *out)
+void
+kq_socket_address_read (const KqSocketAddress *in, KqAddress *out)
 {
   memset (out, 0, sizeof *out);
   if (in->any.sa_family == AF_INET)
@@ -70,8 +63,8 @@
 kq_udp_open (const KqAddress *local, bool share_port, KqError *error)
 {
   char text[KQ_ADDRESS_TEXT_BYTES];
-  SocketAddress address;
-  socklen_t length = to_socket (local, &address);
+  KqSocketAddress address;
+  socklen_t length = kq_socket_address (local, &address);
   int fd = open_socket (local, error);
   if (fd < 0)
     return -1;
@@ -95,8 +88,8 @@
 kq_udp_connect (const KqAddress *peer, KqError *error)
 {
   char text[KQ_ADDRESS_TEXT_BYTES];
-  SocketAddress address;
-  socklen_t length = to_socket (peer, &address);
+  KqSocketAddress address;
+  socklen_t length = kq_socket_address (peer, &address);
   int fd = open_socket (peer, error);
   if (fd < 0)
     return -1;
@@ -115,8 +108,8 @@
 {
   if (to == NULL)
     return send (fd, bytes, size, 0) < 0 ? -1 : 0;
-  SocketAddress address;
-  socklen_t length = to_socket (to, &address);
+  KqSocketAddress address;
+  socklen_t length = kq_socket_address (to, &address);
   return sendto (fd, bytes, size, 0, &address.any, length) < 0 ? -1 : 0;
 }
 
@@ -124,7 +117,7 @@
 kq_udp_receive (int fd, KqUdpReceiver receive, void *data)
 {
   static _Thread_local uint8_t buffers[KQ_UDP_BATCH][KQ_DATAGRAM_BYTES + 1];
-  SocketAddress addresses[KQ_UDP_BATCH];
+  KqSocketAddress addresses[KQ_UDP_BATCH];
   struct mmsghdr messages[KQ_UDP_BATCH];
   struct iovec vectors[KQ_UDP_BATCH];
   memset (messages, 0, sizeof messages);
@@ -141,7 +134,7 @@
   for (int i = 0; i < count; i++)
     {
       KqAddress from;
-      from_socket (&addresses[i], &from);
+      kq_socket_address_read (&addresses[i], &from);
       receive (&from, buffers[i], messages[i].msg_len, data);
     }
   return count < 0 ? 0 : (unsigned)count;
--- a/standins/lib/operator_host.c
+++ b/standins/lib/operator_host.c
@@ -147,7 +147,7 @@
   OperatorHost *host = talloc_zero (parent, OperatorHost);
   host->catalog = kq_service_catalog_new (host);
   host->metrics = kq_metrics_new (host);
-  host->store = kq_store_new (host, ev, store, 1, STORE_TIMEOUT_US, error);
+  host->store = kq_store_new (host, ev, store, 1, STORE_TIMEOUT_US, NULL, error);
   if (host->store == NULL || start_agents (host, ev, error) < 0)
     goto error;
   KqOperatorParams params = { .listen = *listen_address,
--- a/tests/fuzz/fuzz_configuration.c
+++ b/tests/fuzz/fuzz_configuration.c
@@ -42,7 +42,7 @@
   kq_plan_wrote (document, size, "x");
   kq_plan_difference (scope, NULL, document, size);
   kq_plan_read (scope, copy, size, NULL);
-  kq_store_decode (scope, copy, size, NULL);
+  kq_store_etcd_dialect ()->decode (scope, 200, copy, size, NULL);
   KqIntentList *list = kq_intents_parse (scope, copy, size, NULL);
   if (list != NULL)
     {
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -65,7 +65,7 @@
       server = store_server_new (ev, ev, &address, NULL, NULL);
       address.port = store_server_port (server);
     }
-  store = kq_store_new (ev, ev, &address, 1, TIMEOUT_US, NULL);
+  store = kq_store_new (ev, ev, &address, 1, TIMEOUT_US, NULL, NULL);
   return server != NULL;
 }
 
@@ -193,7 +193,7 @@
   set_up ();
   size_t size = 900000;
   talloc_free (store);
-  store = kq_store_new (ev, ev, &address, 1, LONG_TIMEOUT_US, NULL);
+  store = kq_store_new (ev, ev, &address, 1, LONG_TIMEOUT_US, NULL, NULL);
   char *text = talloc_zero_array (ev, char, size + 1);
   memset (text, 'x', size);
   CU_ASSERT (write_key ("a", text, 0).kind == KQ_ERROR_NONE);
