--- a/include/kumquat/internal/store_message.h
+++ b/include/kumquat/internal/store_message.h
@@ -67,6 +67,7 @@
  * @decode: reads the answer to any of them, or one line of a watch that streams. Return: (owned by
  *   @parent) the message, or NULL with @error set
  * @poll_ms: a watch answers once, after at most so long, and is asked again; 0: it streams lines
+ * @poll_slack_us: how much later than that the answer to a watch may come
  * @retry_longest_us: longest pause between attempts while the store does not answer
  *
  * Texts written into a call are owned by @parent.
@@ -82,6 +83,7 @@
   KqStoreMessage *(*decode) (const void *parent, unsigned status, const char *text, size_t size,
                              KqError *error);
   unsigned poll_ms;
+  KqTime poll_slack_us;
   KqTime retry_longest_us;
 } KqStoreDialect;
 
--- a/include/kumquat/internal/stream_frame.h
+++ b/include/kumquat/internal/stream_frame.h
@@ -10,6 +10,8 @@
  * @KQ_FRAME_CARRY: balancer to agent: a segment of a stream that the agent is believed to hold
  * @KQ_FRAME_PROBE: balancer to agent: a segment of a stream that only a target can know
  * @KQ_FRAME_FIND: balancer to agent: do you hold this stream?
+ * @KQ_FRAME_WITHDRAW: balancer to agent: the stream was offered elsewhere; forget it, unless open
+ * @KQ_FRAME_WAITING: agent to balancer: the stream waits here for a slot
  * @KQ_FRAME_HOLDS: agent to balancer: the target holds the stream
  * @KQ_FRAME_MAYBE: agent to balancer: this agent is younger than its target and cannot tell
  * @KQ_FRAME_DECLINED: agent to balancer: the stream is not held and was not opened here
@@ -20,6 +22,8 @@
   KQ_FRAME_CARRY,
   KQ_FRAME_PROBE,
   KQ_FRAME_FIND,
+  KQ_FRAME_WITHDRAW,
+  KQ_FRAME_WAITING,
   KQ_FRAME_HOLDS,
   KQ_FRAME_MAYBE,
   KQ_FRAME_DECLINED
--- a/include/kumquat/internal/stream_state.h
+++ b/include/kumquat/internal/stream_state.h
@@ -141,6 +141,7 @@
 void kq_stream_offer (KqStreamRouter *router, KqStream *stream, KqTime now);
 void kq_stream_offer_declined (KqStreamRouter *router, KqStream *stream, KqStreamTarget *target,
                                KqStreamRefusal reason, KqTime now);
+void kq_stream_offer_waits (KqStreamRouter *router, KqStream *stream, KqTime now);
 void kq_stream_offer_late (KqStreamRouter *router, KqStream *stream, KqTime now);
 
 /* stream_search.c */
--- a/src/connection/stream_frame.c
+++ b/src/connection/stream_frame.c
@@ -13,7 +13,7 @@
 static bool
 is_answer (KqStreamFrameType type)
 {
-  return type >= KQ_FRAME_HOLDS;
+  return type >= KQ_FRAME_WAITING;
 }
 
 static void
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -12,7 +12,7 @@
 #define ENDED_US       (4 * KQ_SECOND)  /* repeated segments of a stream that has ended */
 #define FORGET_US      (65 * KQ_SECOND) /* longer than a stream may live, see max_flow_s */
 #define REQUEST_MAX_US (6 * KQ_SECOND)  /* a request that takes longer no longer counts as load */
-#define NO_REQUEST_US  (1500 * KQ_MS)   /* an opened stream without a request counts so long */
+#define NO_REQUEST_US  (300 * KQ_MS)    /* a caller that still wants it has sent its request then */
 #define WINDOW_BYTES   (1u << 26)       /* acknowledgements of one stream stay within it */
 #define SAME_AGE_US    (200 * KQ_MS)    /* start of a target that began with its agent */
 
@@ -126,6 +126,8 @@
     held = kq_held_new (holder, &frame->key, now);
   if (held == NULL)
     {
+      if (reason == KQ_REFUSAL_NONE)
+        reason = KQ_REFUSAL_OVERLOAD;
       kq_holder_answer (holder, from, KQ_FRAME_DECLINED, reason, frame->attempt, &frame->key);
       return;
     }
@@ -143,6 +145,7 @@
   holder->stats.waited++;
   holder->next_tick = 0;
   kq_admission_wait (&holder->admission, &held->entry);
+  kq_held_answer (holder, held, KQ_FRAME_WAITING, KQ_REFUSAL_NONE);
 }
 
 static void
@@ -163,7 +166,10 @@
   held->balancer = *from;
   held->attempt = frame->attempt;
   if (held->state == KQ_HELD_WAITING)
-    return;
+    {
+      kq_held_answer (holder, held, KQ_FRAME_WAITING, KQ_REFUSAL_NONE);
+      return;
+    }
   holder->stats.to_target++;
   holder->ops.deliver (segment->bytes, segment->size, 0, holder->data);
   if (held->state == KQ_HELD_OPEN)
@@ -240,6 +246,15 @@
     kq_holder_answer (holder, from, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, 0, &frame->key);
 }
 
+/* The target may already have accepted a stream that was only late; its caller decides then. */
+static void
+take_withdrawal (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame)
+{
+  KqHeldStream *held = kq_held_find (holder, &frame->key);
+  if (held != NULL && held->state == KQ_HELD_WAITING && kq_address_equal (&held->balancer, from))
+    kq_held_free (holder, held);
+}
+
 void
 kq_stream_holder_frame (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame,
                         const KqSegment *segment, KqTime now)
@@ -263,6 +278,10 @@
     case KQ_FRAME_FIND:
       take_find (holder, from, frame);
       break;
+    case KQ_FRAME_WITHDRAW:
+      take_withdrawal (holder, from, frame);
+      break;
+    case KQ_FRAME_WAITING:
     case KQ_FRAME_HOLDS:
     case KQ_FRAME_MAYBE:
     case KQ_FRAME_DECLINED:
--- a/src/connection/stream_offer.c
+++ b/src/connection/stream_offer.c
@@ -17,8 +17,13 @@
  * of the processor is used up stands still for up to a tenth of a second. */
 #define ANSWER_US (110 * KQ_MS)
 
-#define NO_TARGET_US (300 * KQ_MS) /* how long a stream waits for any agent to appear */
-#define RETRY_US     (20 * KQ_MS)  /* between looks at the agents meanwhile */
+#define ATTEMPT_US (1400 * KQ_MS) /* after it a caller gives up an attempt that nobody accepted */
+#define RETRY_US   (20 * KQ_MS)   /* between looks for an agent while there is none */
+
+/* A caller that is refused tries again at once, and only twice: while targets are about to appear,
+ * waiting serves it and a refusal does not. They appear within the time that a process needs to
+ * start and to join. */
+#define NO_TARGET_US (1200 * KQ_MS)
 
 static void
 refuse (KqStreamRouter *router, KqStream *stream, KqStreamRefusal reason, KqTime now)
@@ -117,6 +122,14 @@
   kq_stream_offer (router, stream, now);
 }
 
+/* The agent answers again when the stream got its slot, or can not get one in time. */
+void
+kq_stream_offer_waits (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  KqTime end = stream->first_at + ATTEMPT_US + ANSWER_US;
+  kq_stream_wait_until (router, stream, end > now + ANSWER_US ? end : now + ANSWER_US);
+}
+
 void
 kq_stream_offer_late (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
@@ -129,6 +142,9 @@
       exclude (stream, stream->owner);
     }
   if (target != NULL)
-    kq_stream_target_silent (target, now);
+    {
+      kq_stream_target_silent (target, now);
+      kq_stream_send (router, stream, target, KQ_FRAME_WITHDRAW, NULL, 0);
+    }
   kq_stream_offer (router, stream, now);
 }
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -193,6 +193,14 @@
   kq_stream_settle (router, stream, target);
 }
 
+static void
+take_waiting (KqStreamRouter *router, KqStream *stream, const KqStreamFrame *frame, KqTime now)
+{
+  if (stream->state == KQ_STREAM_OPENING && stream->owner == frame->agent &&
+      stream->attempt == frame->attempt)
+    kq_stream_offer_waits (router, stream, now);
+}
+
 static void
 take_declined (KqStreamRouter *router, KqStream *stream, KqStreamTarget *target,
                const KqStreamFrame *frame, KqTime now)
@@ -231,7 +239,9 @@
       return;
     }
   kq_stream_target_answered (target, &frame->load, now);
-  if (frame->type == KQ_FRAME_HOLDS)
+  if (frame->type == KQ_FRAME_WAITING)
+    take_waiting (router, stream, frame, now);
+  else if (frame->type == KQ_FRAME_HOLDS)
     take_holds (router, stream, target, now);
   else if (frame->type == KQ_FRAME_DECLINED)
     take_declined (router, stream, target, frame, now);
--- a/src/process/store_watch.c
+++ b/src/process/store_watch.c
@@ -214,7 +214,7 @@
   void *texts = talloc_new (watch);
   if (polls)
     {
-      params.timeout_us = store->dialect->poll_ms * KQ_MS + store->timeout_us;
+      params.timeout_us = store->dialect->poll_ms * KQ_MS + store->dialect->poll_slack_us;
       params.done = on_poll_done;
     }
   else
