A caller's repeated segment no longer counts as a request

Cause: a retransmitted request after its answer counted as running for 6 s, so slots of targets seemed taken (agents at running=7, opened=0, waiting=90 for seconds after a power loss).

--- a/include/kumquat/internal/admission.h
+++ b/include/kumquat/internal/admission.h
@@ -61,7 +61,8 @@
 /**
  * kq_admission_next - Return: (nullable) the stream to start when there is a slot
  *
- * Those that can still be answered in time come first, then by priority, then the longest waiting.
+ * Those that can still be answered in time come first, then by priority; of those in time the one that
+ * waits longest, of the late ones the newest.
  */
 KqAdmissionEntry *kq_admission_next (const KqAdmission *admission, KqTime now);
 
--- a/include/kumquat/internal/holder_state.h
+++ b/include/kumquat/internal/holder_state.h
@@ -37,6 +37,8 @@
  * @target_ended: the target has sent its end
  * @numbered: @first_number is known
  * @first_number: sequence number of the target's opening segment
+ * @caller_numbered: @caller_end is known
+ * @caller_end: number behind the caller's last data
  * @balancer: where answers about it go; port 0 when no balancer has spoken of it
  * @attempt: number of the offer
  * @used_at: when its last segment went by
@@ -57,6 +59,8 @@
   bool target_ended;
   bool numbered;
   uint32_t first_number;
+  bool caller_numbered;
+  uint32_t caller_end;
   KqAddress balancer;
   uint32_t attempt;
   KqTime used_at;
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -11,8 +11,12 @@
 #define IDLE_TICK_US   (500 * KQ_MS)
 #define ENDED_US       (4 * KQ_SECOND)  /* repeated segments of a stream that has ended */
 #define FORGET_US      (65 * KQ_SECOND) /* longer than a stream may live, see max_flow_s */
-#define REQUEST_MAX_US (6 * KQ_SECOND)  /* a request that takes longer no longer counts as load */
-#define NO_REQUEST_US  (300 * KQ_MS)    /* a caller that still wants it has sent its request then */
+#define REQUEST_MAX_US (3 * KQ_SECOND)  /* a request that takes longer no longer counts as load */
+
+/* The request of a caller that still waits comes within two ways to it; a caller that has given up
+ * sends none, and must not keep a slot. */
+#define NO_REQUEST_US (60 * KQ_MS)
+
 #define WINDOW_BYTES   (1u << 26)       /* acknowledgements of one stream stay within it */
 #define SAME_AGE_US    (200 * KQ_MS)    /* start of a target that began with its agent */
 
@@ -199,6 +203,18 @@
          segment->acknowledged - held->first_number > WINDOW_BYTES;
 }
 
+/* A repeated segment asks for nothing new. */
+static bool
+is_new_data (KqHeldStream *held, const KqSegment *segment)
+{
+  uint32_t end = segment->sequence + segment->payload_size;
+  if (segment->payload_size == 0 || (held->caller_numbered && (int32_t)(end - held->caller_end) <= 0))
+    return false;
+  held->caller_numbered = true;
+  held->caller_end = end;
+  return true;
+}
+
 static void
 take_carried (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame,
               const KqSegment *segment, KqTime now)
@@ -218,7 +234,7 @@
     }
   held->balancer = *from;
   kq_held_touch (holder, held, now);
-  if (segment->payload_size > 0 && !held->asked && !held->target_ended)
+  if (is_new_data (held, segment) && !held->asked && !held->target_ended)
     {
       held->asked = true;
       kq_held_count (holder, held, now);
--- a/src/connection/stream_offer.c
+++ b/src/connection/stream_offer.c
@@ -28,10 +28,18 @@
 static void
 refuse (KqStreamRouter *router, KqStream *stream, KqStreamRefusal reason, KqTime now)
 {
+  static const KqStreamTarget none = { 0 };
+  const KqStreamTarget *last = kq_stream_targets_find (router->targets, stream->owner);
+  if (last == NULL)
+    last = &none;
   router->stats.refused++;
   kq_stream_log (router, LOG_INFO, "stream-refused", stream,
-                 "reason=%s offers=%u age_ms=%lld run=no", kq_stream_refusal_name (reason),
-                 stream->offers, (long long)((now - stream->first_at) / KQ_MS));
+                 "reason=%s offers=%u age_ms=%lld agent=%016llx running=%u slots=%u waiting=%u "
+                 "service_us=%u load_age_ms=%lld run=no",
+                 kq_stream_refusal_name (reason), stream->offers,
+                 (long long)((now - stream->first_at) / KQ_MS), (unsigned long long)last->peer.id,
+                 last->load.running, last->load.slots, last->load.waiting, last->load.service_us,
+                 (long long)((now - last->load_at) / KQ_MS));
   kq_stream_refuse (router, stream, now);
 }
 
--- a/src/process/stream_agent.c
+++ b/src/process/stream_agent.c
@@ -22,6 +22,7 @@
 #define HTTP_UNAVAILABLE 503
 #define METRICS_PATH     "/metrics"
 #define STOP_TICK_US     (50 * KQ_MS)
+#define SUMMARY_US       (1 * KQ_SECOND)
 
 static const KqSettingSpec specs[] = {
   KQ_SETTING_SPEC_NAME,
@@ -65,6 +66,8 @@
   uint32_t service;
   KqTimer *timer;
   KqTimer *stop_timer;
+  KqTimer *summary_timer;
+  KqStreamHolderStats summarized;
   KqTime stop_at;
   bool refused;
   uint64_t malformed;
@@ -335,6 +338,31 @@
   return kq_stream_socket_open (agent, agent->ev, &agent->data, &data, NULL, error);
 }
 
+/* What single lines leave out under load stands here. */
+static void
+on_summary (void *data)
+{
+  StreamAgent *agent = data;
+  KqStreamHolderStats now = kq_stream_holder_stats (agent->holder);
+  KqTargetLoad load = kq_stream_holder_load (agent->holder);
+  const KqStreamHolderStats *before = &agent->summarized;
+  kq_timer_set (agent->summary_timer, kq_clock_now () + SUMMARY_US);
+  if (now.to_target != before->to_target || load.waiting > 0)
+    kq_log (LOG_INFO, "target-summary",
+            "seconds=%d opened=%llu requests=%llu waited=%llu busy=%llu overload=%llu gone=%llu "
+            "bounced=%llu running=%u slots=%u waiting=%u service_us=%u streams=%llu",
+            (int)(SUMMARY_US / KQ_SECOND), (unsigned long long)(now.opened - before->opened),
+            (unsigned long long)(now.requests - before->requests),
+            (unsigned long long)(now.waited - before->waited),
+            (unsigned long long)(now.declined[KQ_REFUSAL_BUSY] - before->declined[KQ_REFUSAL_BUSY]),
+            (unsigned long long)(now.declined[KQ_REFUSAL_OVERLOAD] -
+                                 before->declined[KQ_REFUSAL_OVERLOAD]),
+            (unsigned long long)(now.gone - before->gone),
+            (unsigned long long)(now.bounced - before->bounced), load.running, load.slots,
+            load.waiting, load.service_us, (unsigned long long)now.streams);
+  agent->summarized = now;
+}
+
 static void
 on_stop (void *data)
 {
@@ -365,7 +393,11 @@
   agent->stop_timer = kq_timer_new (agent, agent->ev, on_stop, agent, error);
   if (agent->holder == NULL || agent->metrics == NULL)
     return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for streams; raise the limit");
-  return agent->timer == NULL || agent->stop_timer == NULL ? -1 : 0;
+  agent->summary_timer = kq_timer_new (agent, agent->ev, on_summary, agent, error);
+  if (agent->timer == NULL || agent->stop_timer == NULL || agent->summary_timer == NULL)
+    return -1;
+  kq_timer_set (agent->summary_timer, kq_clock_now () + SUMMARY_US);
+  return 0;
 }
 
 static void *
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -21,6 +21,7 @@
 #define HTTP_UNAVAILABLE 503
 #define METRICS_PATH     "/metrics"
 #define RESET_BYTES      64
+#define SUMMARY_US       (1 * KQ_SECOND)
 #define READY_LATEST_US                                                                            \
   (3 * KQ_SECOND) /* with routes and no target it refuses, which is an answer */
 
@@ -62,6 +63,8 @@
   KqAddress callers_address;
   KqTimer *timer;
   KqTimer *stop_timer;
+  KqTimer *summary_timer;
+  KqStreamRouterStats summarized;
   KqTime started_at;
   bool watching;
   bool stopping;
@@ -304,6 +307,31 @@
     kq_http_respond (request, HTTP_NOT_FOUND, "application/json", "{}", 2);
 }
 
+/* What single lines leave out under load stands here. */
+static void
+on_summary (void *data)
+{
+  StreamBalancer *balancer = data;
+  KqStreamRouterStats now = kq_stream_router_stats (balancer->router);
+  const KqStreamRouterStats *before = &balancer->summarized;
+  kq_timer_set (balancer->summary_timer, kq_clock_now () + SUMMARY_US);
+  if (now.segments != before->segments)
+    kq_log (LOG_INFO, "streams-summary",
+            "seconds=%d segments=%llu opened=%llu offers=%llu declined=%llu unanswered=%llu "
+            "refused=%llu searches=%llu found=%llu lost=%llu dropped=%llu streams=%llu",
+            (int)(SUMMARY_US / KQ_SECOND), (unsigned long long)(now.segments - before->segments),
+            (unsigned long long)(now.opened - before->opened),
+            (unsigned long long)(now.offers - before->offers),
+            (unsigned long long)(now.declined - before->declined),
+            (unsigned long long)(now.unanswered - before->unanswered),
+            (unsigned long long)(now.refused - before->refused),
+            (unsigned long long)(now.searches - before->searches),
+            (unsigned long long)(now.found - before->found),
+            (unsigned long long)(now.lost - before->lost),
+            (unsigned long long)(now.dropped - before->dropped), (unsigned long long)now.streams);
+  balancer->summarized = now;
+}
+
 static void
 on_stop (void *data)
 {
@@ -370,7 +398,11 @@
   balancer->stop_timer = kq_timer_new (balancer, balancer->ev, on_stop, balancer, error);
   if (balancer->router == NULL || balancer->metrics == NULL)
     return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for streams; raise the limit");
-  return balancer->timer == NULL || balancer->stop_timer == NULL ? -1 : 0;
+  balancer->summary_timer = kq_timer_new (balancer, balancer->ev, on_summary, balancer, error);
+  if (balancer->timer == NULL || balancer->stop_timer == NULL || balancer->summary_timer == NULL)
+    return -1;
+  kq_timer_set (balancer->summary_timer, kq_clock_now () + SUMMARY_US);
+  return 0;
 }
 
 static void *
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -113,7 +113,8 @@
     return a_in_time;
   if (a->need.priority != b->need.priority)
     return a->need.priority < b->need.priority;
-  return a->arrived_at < b->arrived_at;
+  /* Of those that are late, the newest is the one whose caller most likely still waits. */
+  return a_in_time ? a->arrived_at < b->arrived_at : a->arrived_at > b->arrived_at;
 }
 
 KqAdmissionEntry *
