A stream that its target ends without an answer keeps no slot

Cause: callers that had given up closed at once, their targets closed too, and the stream counted as a running request for seconds. An end can also arrive before the data in front of it.

--- a/include/kumquat/internal/holder_state.h
+++ b/include/kumquat/internal/holder_state.h
@@ -37,6 +37,7 @@
  * @target_ended: the target has sent its end
  * @numbered: @first_number is known
  * @first_number: sequence number of the target's opening segment
+ * @target_end: number behind the target's last data
  * @caller_numbered: @caller_end is known
  * @caller_end: number behind the caller's last data
  * @balancer: where answers about it go; port 0 when no balancer has spoken of it
@@ -59,6 +60,7 @@
   bool target_ended;
   bool numbered;
   uint32_t first_number;
+  uint32_t target_end;
   bool caller_numbered;
   uint32_t caller_end;
   KqAddress balancer;
--- a/src/connection/holder_target.c
+++ b/src/connection/holder_target.c
@@ -49,6 +49,7 @@
 {
   held->numbered = true;
   held->first_number = segment->sequence;
+  held->target_end = segment->sequence + 1;
   holder->silences = 0;
   holder->silent_until = 0;
   if (held->state == KQ_HELD_OPEN)
@@ -59,6 +60,14 @@
                  holder->admission.running, holder->admission.slots);
 }
 
+static void
+note_target_end (KqHeldStream *held, const KqSegment *segment)
+{
+  uint32_t end = segment->sequence + segment->payload_size;
+  if ((int32_t)(end - held->target_end) > 0)
+    held->target_end = end;
+}
+
 static void
 take_data (KqStreamHolder *holder, KqHeldStream *held, KqTime now)
 {
@@ -68,6 +77,17 @@
   kq_held_uncount (holder, held, now - held->counted_at);
 }
 
+/* Segments of one answer arrive in any order. The end's number tells whether the target has sent
+ * data that is still on its way here, or ends the stream without an answer and runs nothing more. */
+static void
+take_end (KqStreamHolder *holder, KqHeldStream *held, const KqSegment *segment, KqTime now)
+{
+  held->target_ended = true;
+  if (!held->numbered || segment->sequence != held->target_end)
+    take_data (holder, held, now);
+  kq_held_uncount (holder, held, -1);
+}
+
 /* A stream that the target speaks of is held by it, whether this agent has seen it opened or not.
  */
 static KqHeldStream *
@@ -109,9 +129,12 @@
       if (opening && held->state == KQ_HELD_OPEN)
         kq_held_answer (holder, held, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE);
       if (segment->payload_size > 0)
-        take_data (holder, held, now);
+        {
+          note_target_end (held, segment);
+          take_data (holder, held, now);
+        }
       if ((segment->flags & KQ_SEGMENT_FIN) != 0)
-        held->target_ended = true;
+        take_end (holder, held, segment, now);
     }
   kq_held_start_waiting (holder, now);
 }
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -344,6 +344,11 @@
       *next = now + TICK_US;
       return;
     }
+  if (held->counted && held->asked && counted >= REQUEST_MAX_US)
+    kq_holder_log (holder, LOG_INFO, "request-unanswered", &held->key,
+                   "waited_ms=%lld caller_ended=%s target_ended=%s idle_ms=%lld",
+                   (long long)(counted / KQ_MS), held->caller_ended ? "yes" : "no",
+                   held->target_ended ? "yes" : "no", (long long)(idle / KQ_MS));
   if (held->counted && counted >= (held->asked ? REQUEST_MAX_US : NO_REQUEST_US))
     kq_held_uncount (holder, held, -1);
   if (idle >= FORGET_US || (ended && idle >= ENDED_US))
