Newcomers introduce themselves to the seeds by datagram

Cause: after a power loss of all machines a balancer knew its first target 0.4 to 0.6 s after its start, since the digest exchange needs a connection and tries again each 500 ms.

--- a/include/kumquat/internal/control_message.h
+++ b/include/kumquat/internal/control_message.h
@@ -21,6 +21,7 @@
  * @KQ_CONTROL_ITEMS: bulk: items of ranges that differ
  * @KQ_CONTROL_PULL: bulk: asks for documents
  * @KQ_CONTROL_DOCUMENTS: bulk: documents
+ * @KQ_CONTROL_INTRODUCTION: a newcomer's own item; answered by gossip with some members
  */
 typedef enum
 {
@@ -36,6 +37,7 @@
   KQ_CONTROL_ITEMS,
   KQ_CONTROL_PULL,
   KQ_CONTROL_DOCUMENTS,
+  KQ_CONTROL_INTRODUCTION,
   KQ_CONTROL_TYPES
 } KqControlType;
 
--- a/include/kumquat/internal/group_impl.h
+++ b/include/kumquat/internal/group_impl.h
@@ -184,6 +184,10 @@
 bool kq_group_finish (KqGroup *group, KqOutgoing *out, const KqAddress *to, KqPriority priority);
 void kq_group_gossip_tick (KqGroup *group);
 
+/* introduce.c */
+void kq_introduce_tick (KqGroup *group);
+void kq_introduce_answer (KqGroup *group, const KqControlHeader *header);
+
 /* swim.c */
 void kq_swim_tick (KqGroup *group);
 void kq_swim_ping (KqGroup *group, const KqControlHeader *header);
--- a/src/version/group_receive.c
+++ b/src/version/group_receive.c
@@ -41,6 +41,15 @@
   return 0;
 }
 
+static int
+take_introduction (KqGroup *group, const KqControlHeader *header, KqReader *reader)
+{
+  if (apply_items (group, reader) < 0)
+    return -1;
+  kq_introduce_answer (group, header);
+  return 0;
+}
+
 static int
 take (KqGroup *group, const KqControlHeader *header, KqReader *reader)
 {
@@ -51,6 +60,8 @@
     case KQ_CONTROL_ACK:
     case KQ_CONTROL_GOSSIP:
       return take_probe (group, header, reader);
+    case KQ_CONTROL_INTRODUCTION:
+      return take_introduction (group, header, reader);
     case KQ_CONTROL_HOLDERS:
       return kq_report_holders (group, header, reader);
     case KQ_CONTROL_HOLDERS_OK:
--- a/src/version/group_send.c
+++ b/src/version/group_send.c
@@ -151,6 +151,7 @@
   if (group->now < group->next_gossip)
     return;
   group->next_gossip = group->now + gossip_interval (group);
+  kq_introduce_tick (group);
   for (unsigned i = 0; i < GOSSIP_FANOUT && kq_gossip_length (group->gossip) > 0; i++)
     {
       KqOutgoing out;
