A stream whose caller goes on is open, whatever the agent's word

Ruled out: double placement (the target of the reset had the stream). Change: a segment of the caller behind its opening makes the stream open; a fast target is no longer preferred beyond the usual time of its service.

--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -132,6 +132,24 @@
                   segment->size);
 }
 
+/* The caller goes on, so a target has accepted the stream, although the agent's word of it is late or
+ * lost. It is open from now on and must not be refused any more; should the last agent not hold it,
+ * that one says so and the holder is searched. */
+static void
+go_on (KqStreamRouter *router, KqStream *stream, const KqSegment *segment, KqTime now)
+{
+  if (stream->owner == 0)
+    {
+      router->stats.dropped++;
+      return;
+    }
+  kq_stream_drop_held (stream);
+  kq_stream_stop_waiting (router, stream);
+  stream->state = KQ_STREAM_OPEN;
+  router->stats.opened++;
+  carry (router, stream, segment, now);
+}
+
 static void
 take_segment (KqStreamRouter *router, KqStream *stream, const KqSegment *segment, KqTime now)
 {
@@ -145,7 +163,7 @@
     {
     case KQ_STREAM_OPENING:
       if (!opening)
-        carry (router, stream, segment, now);
+        go_on (router, stream, segment, now);
       break;
     case KQ_STREAM_OPEN:
       carry (router, stream, segment, now);
--- a/src/connection/stream_targets.c
+++ b/src/connection/stream_targets.c
@@ -151,7 +151,8 @@
   KqTime age = now - target->load_at;
   if (target->load_at == 0 || age >= LOAD_FADES_US || target->load.slots == 0)
     return usual + target->offered * usual / 4 + way;
-  uint64_t known = target->load.service_us == 0 ? usual : target->load.service_us;
+  /* A target that fails answers faster than the others; that must not make it the favourite. */
+  uint64_t known = target->load.service_us > usual ? target->load.service_us : usual;
   uint64_t fade = (uint64_t)age;
   uint64_t service = (known * (LOAD_FADES_US - fade) + usual * fade) / LOAD_FADES_US;
   uint64_t running = target->load.running + target->load.waiting + target->offered;
