Balancers read the configuration on their own when peers do not bring it

Change: a balancer that lags for 0.5 s watches the store until it has caught up; others read the key every 2 s with an answer that may be old, at a tenth of the price.

--- a/include/kumquat/control.h
+++ b/include/kumquat/control.h
@@ -92,6 +92,11 @@
  * that watch the store, by rendezvous over the live members */
 bool kq_control_is_watcher (const KqControl *control);
 
+/** kq_control_lags - Return: whether a newer document of @service is known of than the one held
+ * here
+ */
+bool kq_control_lags (const KqControl *control, uint32_t service);
+
 /** kq_control_in_force - Return: 0, or -1 when the service is not known here */
 int kq_control_in_force (const KqControl *control, uint32_t service, KqInForce *in_force);
 
--- a/include/kumquat/internal/admission.h
+++ b/include/kumquat/internal/admission.h
@@ -23,6 +23,8 @@
  * @slots: requests that the target runs at once
  * @running: requests that run or are about to
  * @service_us: time of a request, smoothed
+ * @recent_bytes: bytes of recent answers, older ones counting less
+ * @recent_answers: how many answers these are, in the same weights
  * @waiting: streams that wait
  * @waiting_count: how many
  */
@@ -31,6 +33,8 @@
   unsigned slots;
   unsigned running;
   KqTime service_us;
+  double recent_bytes;
+  double recent_answers;
   TAILQ_HEAD (, KqAdmissionEntry) waiting;
   unsigned waiting_count;
 } KqAdmission;
@@ -49,6 +53,9 @@
 /** kq_admission_end - counts its end; @took_us is how long it took, or -1 when that says nothing */
 void kq_admission_end (KqAdmission *admission, KqTime took_us);
 
+/** kq_admission_answer - notes @size bytes of an answer */
+void kq_admission_answer (KqAdmission *admission, size_t size);
+
 /** kq_admission_worth_waiting - Return: whether a stream that comes now would get its slot while
  * its answer is still of use */
 bool kq_admission_worth_waiting (const KqAdmission *admission, const KqAdmissionEntry *entry,
@@ -61,8 +68,8 @@
 /**
  * kq_admission_next - Return: (nullable) the stream to start when there is a slot
  *
- * Those that can still be answered in time come first, then by priority; of those in time the one that
- * waits longest, of the late ones the newest.
+ * Those that can still be answered in time come first, then by priority; of those in time the one
+ * that waits longest, of the late ones the newest.
  */
 KqAdmissionEntry *kq_admission_next (const KqAdmission *admission, KqTime now);
 
--- a/include/kumquat/internal/group.h
+++ b/include/kumquat/internal/group.h
@@ -135,5 +135,8 @@
 
 /** kq_group_held - Return: the revision of @service that is held here; zero for none */
 KqRevision kq_group_held (const KqGroup *group, uint32_t service);
+
+/** kq_group_lags - see kq_control_lags() */
+bool kq_group_lags (const KqGroup *group, uint32_t service);
 KqGroupStats kq_group_stats (const KqGroup *group);
 const KqTokenBucket *kq_group_budget (const KqGroup *group);
--- a/include/kumquat/internal/store_message.h
+++ b/include/kumquat/internal/store_message.h
@@ -10,6 +10,7 @@
  * @at_revision: read as of this store revision; 0 means now
  * @min_mod_revision: only keys changed at or after this store revision
  * @limit: keys an answer; 0 means without limit
+ * @stale: an answer that is some seconds old will do, which costs the store less
  */
 typedef struct
 {
@@ -18,6 +19,7 @@
   uint64_t at_revision;
   uint64_t min_mod_revision;
   unsigned limit;
+  bool stale;
 } KqStoreRange;
 
 /**
--- a/include/kumquat/internal/stream_frame.h
+++ b/include/kumquat/internal/stream_frame.h
@@ -58,6 +58,7 @@
  * @slots: requests that run at once
  * @waiting: new streams that wait for a slot
  * @service_us: time that a request takes, smoothed
+ * @answer_bytes: size of an answer, smoothed
  */
 typedef struct
 {
@@ -65,6 +66,7 @@
   unsigned slots;
   unsigned waiting;
   uint32_t service_us;
+  uint32_t answer_bytes;
 } KqTargetLoad;
 
 /**
--- a/include/kumquat/store.h
+++ b/include/kumquat/store.h
@@ -78,6 +78,10 @@
 /** kq_store_read - reads every key that starts with @prefix; @done is called once */
 void kq_store_read (KqStore *store, const char *prefix, KqStoreDone done, void *data);
 
+/** kq_store_read_stale - as kq_store_read(), with an answer that may be some seconds old and costs
+ * the store less */
+void kq_store_read_stale (KqStore *store, const char *prefix, KqStoreDone done, void *data);
+
 #define KQ_STORE_KEYS_MAX 120
 
 /** kq_store_read_keys - reads up to KQ_STORE_KEYS_MAX keys in one call; those that do not exist are
--- a/src/connection/holder_target.c
+++ b/src/connection/holder_target.c
@@ -78,7 +78,8 @@
 }
 
 /* Segments of one answer arrive in any order. The end's number tells whether the target has sent
- * data that is still on its way here, or ends the stream without an answer and runs nothing more. */
+ * data that is still on its way here, or ends the stream without an answer and runs nothing more.
+ */
 static void
 take_end (KqStreamHolder *holder, KqHeldStream *held, const KqSegment *segment, KqTime now)
 {
@@ -131,6 +132,7 @@
       if (segment->payload_size > 0)
         {
           note_target_end (held, segment);
+          kq_admission_answer (&holder->admission, segment->payload_size);
           take_data (holder, held, now);
         }
       if ((segment->flags & KQ_SEGMENT_FIN) != 0)
--- a/src/connection/stream_frame.c
+++ b/src/connection/stream_frame.c
@@ -61,6 +61,7 @@
   kq_writer_uint (writer, load->slots);
   kq_writer_uint (writer, load->waiting);
   kq_writer_uint (writer, load->service_us);
+  kq_writer_uint (writer, load->answer_bytes);
 }
 
 static void
@@ -70,6 +71,7 @@
   load->slots = (unsigned)kq_reader_uint (reader, UINT16_MAX);
   load->waiting = (unsigned)kq_reader_uint (reader, UINT16_MAX);
   load->service_us = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
+  load->answer_bytes = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
 }
 
 int
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -17,8 +17,8 @@
  * sends none, and must not keep a slot. */
 #define NO_REQUEST_US (60 * KQ_MS)
 
-#define WINDOW_BYTES   (1u << 26)       /* acknowledgements of one stream stay within it */
-#define SAME_AGE_US    (200 * KQ_MS)    /* start of a target that began with its agent */
+#define WINDOW_BYTES (1u << 26)    /* acknowledgements of one stream stay within it */
+#define SAME_AGE_US  (200 * KQ_MS) /* start of a target that began with its agent */
 
 KqStreamHolder *
 kq_stream_holder_new (const void *parent, const KqStreamHolderParams *params,
@@ -208,7 +208,8 @@
 is_new_data (KqHeldStream *held, const KqSegment *segment)
 {
   uint32_t end = segment->sequence + segment->payload_size;
-  if (segment->payload_size == 0 || (held->caller_numbered && (int32_t)(end - held->caller_end) <= 0))
+  if (segment->payload_size == 0 ||
+      (held->caller_numbered && (int32_t)(end - held->caller_end) <= 0))
     return false;
   held->caller_numbered = true;
   held->caller_end = end;
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -4,10 +4,11 @@
 
 #include "kumquat/internal/stream_state.h"
 
-#define CLOSING_US     (4 * KQ_SECOND) /* repeated segments of a stream that has ended come so late */
-#define EXPIRE_EVERY   (500 * KQ_MS)   /* between looks for idle streams */
-#define IDLE_MARGIN_US (2 * KQ_SECOND) /* a stream that its holder keeps just as long stays known  \
-                                        */
+#define CLOSING_US   (4 * KQ_SECOND) /* repeated segments of a stream that has ended come so late */
+#define EXPIRE_EVERY (500 * KQ_MS)   /* between looks for idle streams */
+#define IDLE_MARGIN_US                                                                             \
+  (2 * KQ_SECOND) /* a stream that its holder keeps just as long stays known                       \
+                   */
 
 KqStreamRouter *
 kq_stream_router_new (const void *parent, const char *failure_domain, const KqStreamRouterOps *ops,
@@ -132,9 +133,9 @@
                   segment->size);
 }
 
-/* The caller goes on, so a target has accepted the stream, although the agent's word of it is late or
- * lost. It is open from now on and must not be refused any more; should the last agent not hold it,
- * that one says so and the holder is searched. */
+/* The caller goes on, so a target has accepted the stream, although the agent's word of it is late
+ * or lost. It is open from now on and must not be refused any more; should the last agent not hold
+ * it, that one says so and the holder is searched. */
 static void
 go_on (KqStreamRouter *router, KqStream *stream, const KqSegment *segment, KqTime now)
 {
--- a/src/connection/stream_targets.c
+++ b/src/connection/stream_targets.c
@@ -16,6 +16,10 @@
 
 #define SERVICE_FIRST_US 50000           /* time of a request while no agent has reported one */
 #define LOAD_FADES_US    (2 * KQ_SECOND) /* a report older than this says nothing any more */
+#define FAILING_PARTS                                                                              \
+  2 /* a failing target's answers take and hold less than one in so many parts */
+#define FAILING_US       (500 * KQ_MS)   /* price of an answer that is an error */
+#define FAILING_FADES_US (6 * KQ_SECOND) /* after it such a target is tried again */
 #define SILENT_US        (500 * KQ_MS)   /* pause after the first offer without an answer */
 #define SILENCES_MAX     3               /* after so many the pause does not grow */
 
@@ -126,28 +130,54 @@
   return false;
 }
 
-static uint64_t
-usual_service_us (const KqStreamTargets *targets, uint32_t service)
+/**
+ * struct Usual - means over the targets of a service, by their last reports
+ */
+typedef struct
+{
+  uint64_t service_us;
+  uint64_t answer_bytes;
+} Usual;
+
+static Usual
+usual_of (const KqStreamTargets *targets, uint32_t service)
 {
-  uint64_t sum = 0;
+  Usual sum = { 0 };
   unsigned count = 0;
   for (unsigned i = 0; i < targets->count; i++)
     {
       const KqStreamTarget *target = &targets->targets[i];
       if (target->service != service || target->load.service_us == 0)
         continue;
-      sum += target->load.service_us;
+      sum.service_us += target->load.service_us;
+      sum.answer_bytes += target->load.answer_bytes;
       count++;
     }
-  return count == 0 ? SERVICE_FIRST_US : sum / count;
+  if (count == 0)
+    return (Usual){ .service_us = SERVICE_FIRST_US };
+  return (Usual){ .service_us = sum.service_us / count, .answer_bytes = sum.answer_bytes / count };
+}
+
+/* Answers are not read here, but one that reports an error comes much sooner than others and is
+ * much shorter. Measured against the mean of the service, so that when most targets look alike,
+ * none is taken for failing. */
+static bool
+looks_failing (const KqStreamTarget *target, const Usual *usual, KqTime now)
+{
+  return target->load_at != 0 && now - target->load_at < FAILING_FADES_US &&
+         target->load.service_us * FAILING_PARTS < usual->service_us &&
+         target->load.answer_bytes * FAILING_PARTS < usual->answer_bytes;
 }
 
 /* Time until a request that is sent now is answered, in microseconds. An old report counts for
  * less, so that a target that was slow is tried again. */
 static uint64_t
-cost (const KqStreamTarget *target, uint64_t usual, KqTime now)
+cost (const KqStreamTarget *target, const Usual *usual_load, KqTime now)
 {
+  uint64_t usual = usual_load->service_us;
   uint64_t way = target->near ? 0 : FAR_US;
+  if (looks_failing (target, usual_load, now))
+    way += FAILING_US;
   KqTime age = now - target->load_at;
   if (target->load_at == 0 || age >= LOAD_FADES_US || target->load.slots == 0)
     return usual + target->offered * usual / 4 + way;
@@ -170,7 +200,7 @@
   Candidates best = { .count = 0 };
   KqStreamTarget *chosen = NULL;
   KqStreamTarget *resort = NULL;
-  uint64_t usual = usual_service_us (targets, service);
+  Usual usual = usual_of (targets, service);
   uint64_t lowest = 0;
   for (unsigned i = 0; i < targets->count; i++)
     {
@@ -185,7 +215,7 @@
     }
   for (unsigned i = 0; i < best.count; i++)
     {
-      uint64_t price = cost (best.targets[i], usual, now);
+      uint64_t price = cost (best.targets[i], &usual, now);
       if (chosen != NULL && price >= lowest)
         continue;
       chosen = best.targets[i];
--- a/src/process/control_query.c
+++ b/src/process/control_query.c
@@ -161,3 +161,9 @@
   char *text = append_traffic (talloc_strdup (parent, ""), control, &stats);
   return append_members (text, control, &stats);
 }
+
+bool
+kq_control_lags (const KqControl *control, uint32_t service)
+{
+  return kq_group_lags (control->group, service);
+}
--- a/src/process/store.c
+++ b/src/process/store.c
@@ -10,6 +10,7 @@
  * @store: (borrowed): the client
  * @prefix: keys that start with it
  * @min_mod_revision: see KqStoreRange
+ * @stale: see KqStoreRange
  * @from: last key that was read
  * @revision: store revision of the first page, which later pages use
  * @cluster_id: of the first page
@@ -26,6 +27,7 @@
   KqStore *store;
   char *prefix;
   uint64_t min_mod_revision;
+  bool stale;
   const char *from;
   uint64_t revision;
   uint64_t cluster_id;
@@ -172,6 +174,7 @@
                          .from = read->from,
                          .at_revision = read->revision,
                          .min_mod_revision = read->min_mod_revision,
+                         .stale = read->stale,
                          .limit = KQ_STORE_KEYS_A_PAGE };
   KqHttpParams params = { .timeout_us = store->timeout_us, .done = on_read_done, .data = read };
   KqStoreCall call = { 0 };
@@ -181,17 +184,24 @@
   talloc_free (texts);
 }
 
-void *
-kq_store_read_range (const void *parent, KqStore *store, const char *prefix,
-                     uint64_t min_mod_revision, KqStoreDone done, void *data)
+static Read *
+new_read (const void *parent, KqStore *store, const char *prefix, KqStoreDone done, void *data)
 {
   Read *read = talloc_zero (parent, Read);
   read->store = store;
   read->prefix = talloc_strdup (read, prefix);
-  read->min_mod_revision = min_mod_revision;
   read->done = done;
   read->data = data;
   talloc_set_destructor (read, destroy_read);
+  return read;
+}
+
+void *
+kq_store_read_range (const void *parent, KqStore *store, const char *prefix,
+                     uint64_t min_mod_revision, KqStoreDone done, void *data)
+{
+  Read *read = new_read (parent, store, prefix, done, data);
+  read->min_mod_revision = min_mod_revision;
   read_page (read);
   return read;
 }
@@ -202,6 +212,14 @@
   kq_store_read_range (store, store, prefix, 0, done, data);
 }
 
+void
+kq_store_read_stale (KqStore *store, const char *prefix, KqStoreDone done, void *data)
+{
+  Read *read = new_read (store, store, prefix, done, data);
+  read->stale = true;
+  read_page (read);
+}
+
 /**
  * struct Write - one transaction in progress
  * @reads: it only reads, so that it may be sent again
--- a/src/process/store_message.c
+++ b/src/process/store_message.c
@@ -74,6 +74,8 @@
     json_object_set_new (root, "min_mod_revision", integer_json (range->min_mod_revision));
   if (range->limit > 0)
     json_object_set_new (root, "limit", integer_json (range->limit));
+  if (range->stale)
+    json_object_set_new (root, "serializable", json_true ());
   set_call (call, "/v3/kv/range", take_text (parent, root));
 }
 
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -22,6 +22,12 @@
 #define METRICS_PATH     "/metrics"
 #define RESET_BYTES      64
 #define SUMMARY_US       (1 * KQ_SECOND)
+
+/* A configuration must be in force within 3 s. One that was heard of comes from a peer within 0.5
+ * s, or else from the store; one that was not heard of is found by a read within 2 s. */
+#define REFRESH_US     (250 * KQ_MS)
+#define LAGS           2
+#define READ_REFRESHES 8
 #define READY_LATEST_US                                                                            \
   (3 * KQ_SECOND) /* with routes and no target it refuses, which is an answer */
 
@@ -46,6 +52,8 @@
  * @watching: the store is watched
  * @stopping: told to stop
  * @ready: what the last readiness check was answered
+ * @refreshes: looks for a newer configuration
+ * @lags: looks in a row that knew of one that is not here
  */
 typedef struct
 {
@@ -65,6 +73,9 @@
   KqTimer *stop_timer;
   KqTimer *summary_timer;
   KqStreamRouterStats summarized;
+  KqTimer *refresh_timer;
+  unsigned refreshes;
+  unsigned lags;
   KqTime started_at;
   bool watching;
   bool stopping;
@@ -217,12 +228,14 @@
 }
 
 /* Few balancers of a failure domain watch the store. One that has no configuration yet does so as
- * well, since a peer may know no more than it. */
+ * well, since a peer may know no more than it; so does one that has heard of a newer configuration
+ * and does not get it from those that hold it. */
 static void
 update_watch (StreamBalancer *balancer)
 {
-  bool wanted = !balancer->stopping && (kq_control_is_watcher (balancer->control) ||
-                                        kq_stream_router_routes (balancer->router) == NULL);
+  bool wanted =
+      !balancer->stopping && (kq_control_is_watcher (balancer->control) || balancer->lags >= LAGS ||
+                              kq_stream_router_routes (balancer->router) == NULL);
   if (wanted == balancer->watching)
     return;
   balancer->watching = wanted;
@@ -234,6 +247,18 @@
     kq_store_unwatch (balancer->store);
 }
 
+/* A balancer can be cut off from its peers and still reach the store and its callers. */
+static void
+on_refresh (void *data)
+{
+  StreamBalancer *balancer = data;
+  kq_timer_set (balancer->refresh_timer, kq_clock_now () + REFRESH_US);
+  balancer->lags = kq_control_lags (balancer->control, KQ_ROUTES_DOCUMENT) ? balancer->lags + 1 : 0;
+  update_watch (balancer);
+  if (++balancer->refreshes % READ_REFRESHES == 0 && !balancer->watching && !balancer->stopping)
+    kq_store_read_stale (balancer->store, balancer->adapter->routes_key, store_changed, balancer);
+}
+
 static void
 members_changed (void *data)
 {
@@ -420,6 +445,13 @@
       talloc_free (balancer);
       return NULL;
     }
+  balancer->refresh_timer = kq_timer_new (balancer, ev, on_refresh, balancer, error);
+  if (balancer->refresh_timer == NULL)
+    {
+      talloc_free (balancer);
+      return NULL;
+    }
+  kq_timer_set (balancer->refresh_timer, kq_clock_now () + REFRESH_US);
   update_watch (balancer);
   return balancer;
 }
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -16,6 +16,7 @@
 /* A caller gives up an attempt that was not accepted in 1.4 s; the rest is for the ways. */
 #define ATTEMPT_US (1300 * KQ_MS)
 
+#define SPREAD      2   /* nearly all requests take less than so many times the mean */
 #define WAITING_MAX 256 /* streams that wait; a queue for longer than ATTEMPT_US is useless */
 
 void
@@ -53,8 +54,17 @@
 {
   if (admission->running > 0)
     admission->running--;
-  if (took_us >= 0)
-    admission->service_us += (took_us - admission->service_us) / SERVICE_SHARE;
+  if (took_us < 0)
+    return;
+  admission->service_us += (took_us - admission->service_us) / SERVICE_SHARE;
+  admission->recent_answers += 1 - admission->recent_answers / SERVICE_SHARE;
+  admission->recent_bytes -= admission->recent_bytes / SERVICE_SHARE;
+}
+
+void
+kq_admission_answer (KqAdmission *admission, size_t size)
+{
+  admission->recent_bytes += (double)size;
 }
 
 /* Return: the latest time at which the stream may still be opened. */
@@ -100,7 +110,8 @@
 static bool
 can_be_in_time (const KqAdmission *admission, const KqAdmissionEntry *entry, KqTime now)
 {
-  return now + admission->service_us <= entry->arrived_at + entry->need.objective_ms * KQ_MS;
+  KqTime most = SPREAD * admission->service_us;
+  return now + most <= entry->arrived_at + entry->need.objective_ms * KQ_MS;
 }
 
 static bool
@@ -147,7 +158,10 @@
 KqTargetLoad
 kq_admission_load (const KqAdmission *admission)
 {
-  return (KqTargetLoad){ .running = admission->running,
+  double bytes =
+      admission->recent_answers >= 1 ? admission->recent_bytes / admission->recent_answers : 0;
+  return (KqTargetLoad){ .answer_bytes = (uint32_t)bytes,
+                         .running = admission->running,
                          .slots = admission->slots,
                          .waiting = admission->waiting_count,
                          .service_us = (uint32_t)admission->service_us };
--- a/src/version/group_query.c
+++ b/src/version/group_query.c
@@ -126,3 +126,10 @@
 {
   return &group->budget;
 }
+
+bool
+kq_group_lags (const KqGroup *group, uint32_t service)
+{
+  const KqSpreadEntry *entry = kq_config_spread_find (group->spread, service);
+  return entry != NULL && kq_revision_compare (entry->held, entry->known) < 0;
+}
--- a/src/version/introduce.c
+++ b/src/version/introduce.c
@@ -1,7 +1,7 @@
-/* A newcomer tells the seeds who it is with a datagram each gossip interval until it has joined, and
- * each answers with some of the members that it knows. The digest exchange goes over a connection,
- * which takes longer to come up than the rest of a process; when a whole group starts at once, this
- * is the time without service. */
+/* A newcomer tells the seeds who it is with a datagram each gossip interval until it has joined,
+ * and each answers with some of the members that it knows. The digest exchange goes over a
+ * connection, which takes longer to come up than the rest of a process; when a whole group starts
+ * at once, this is the time without service. */
 
 #include "kumquat/internal/group_impl.h"
 
