--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 LIB_OBJECTS = $(patsubst %,$(B)/%.o,$(LIB_SOURCES))
 STANDIN_LIB_OBJECTS = $(patsubst %,$(B)/%.o,$(sort $(wildcard standins/lib/*.c)))
 PROGRAMS = $(patsubst programs/%.c,$(B)/bin/%,$(wildcard programs/*.c))
+# The adapter of the users' platform, and the programs that run there.
+PLATFORM_OBJECTS = $(patsubst %,$(B)/%.o,$(filter-out platform/kumquat-%,$(sort $(wildcard platform/*.c))))
+PLATFORM_PROGRAMS = $(patsubst platform/%.c,$(B)/platform/%,$(wildcard platform/kumquat-*.c))
 STANDINS = $(patsubst standins/%.c,$(B)/bin/standin-%,$(wildcard standins/*.c))
 UNIT_TESTS = $(patsubst tests/unit/%.c,$(B)/tests/%,$(wildcard tests/unit/test_*.c))
 FUZZERS = $(patsubst tests/fuzz/%.c,$(B)/fuzz/%,$(wildcard tests/fuzz/fuzz_*.c))
@@ -67,26 +70,27 @@
 $(B)/bin/standin-%: $(B)/standins/%.c.o $(B)/libstandin.a $(B)/libkumquat.a
 	$(LINK) $(LDLIBS)
 
-$(B)/tests/%: $(B)/tests/unit/%.c.o $(B)/tests/unit/unit.c.o $(B)/libstandin.a $(B)/libkumquat.a
+$(B)/tests/%: $(B)/tests/unit/%.c.o $(B)/tests/unit/unit.c.o $(B)/libstandin.a $(B)/libplatform.a \
+	  $(B)/libkumquat.a
 	$(LINK) $(LDLIBS) -lcunit
 
-$(B)/fuzz/%: $(B)/tests/fuzz/%.c.o $(B)/libkumquat.a
+$(B)/fuzz/%: $(B)/tests/fuzz/%.c.o $(B)/libplatform.a $(B)/libkumquat.a
 	$(LINK) $(LDLIBS)
 
 $(B)/bench/%: $(B)/bench/%.c.o $(B)/libstandin.a $(B)/libkumquat.a
 	$(LINK) $(LDLIBS)
 
-# The adapter of the users' platform, and the programs that run there.
-PLATFORM_OBJECTS = $(patsubst %,$(B)/%.o,$(filter-out platform/kumquat-%,$(sort $(wildcard platform/*.c))))
-PLATFORM_PROGRAMS = $(patsubst platform/%.c,$(B)/platform/%,$(wildcard platform/kumquat-*.c))
+$(B)/libplatform.a: $(PLATFORM_OBJECTS)
+	@rm -f $@
+	@ar rcs $@ $^
 
-$(B)/platform/kumquat%: $(B)/platform/kumquat%.c.o $(PLATFORM_OBJECTS) $(B)/libkumquat.a
+$(B)/platform/kumquat%: $(B)/platform/kumquat%.c.o $(B)/libplatform.a $(B)/libkumquat.a
 	$(LINK) -Wl,--as-needed $(LDLIBS)
 
 # What deploy/system.toml builds; everything lies below target.
 deploy:
 	$(MAKE) B=target/build platform-programs
-	cp target/build/platform/kumquat-balancer target/build/platform/kumquat-agent target/
+	install -t target target/build/platform/kumquat-balancer target/build/platform/kumquat-agent
 
 platform-programs: $(PLATFORM_PROGRAMS)
 
--- a/include/kumquat/internal/route_table.h
+++ b/include/kumquat/internal/route_table.h
@@ -19,7 +19,7 @@
 } KqRouteKind;
 
 /**
- * struct KqRouteService - a service that a route's streams may go to
+ * struct KqStreamRouteService - a service that a route's streams may go to
  * @number: the service, see kq_service_number()
  * @weight: relative share of the route's streams
  */
@@ -27,10 +27,10 @@
 {
   uint32_t number;
   uint32_t weight;
-} KqRouteService;
+} KqStreamRouteService;
 
 /**
- * struct KqRoute - one address and port, and what its requests need
+ * struct KqStreamRoute - one address and port, and what its requests need
  * @ip: IPv4 address in host byte order
  * @port: port
  * @kind: what its requests allow
@@ -48,9 +48,9 @@
   unsigned priority;
   uint32_t objective_ms;
   uint32_t timeout_ms;
-  KqRouteService services[KQ_ROUTE_SERVICES_MAX];
+  KqStreamRouteService services[KQ_ROUTE_SERVICES_MAX];
   unsigned service_count;
-} KqRoute;
+} KqStreamRoute;
 
 /**
  * struct KqRouteTable - one version of the configuration; immutable once sorted
@@ -63,7 +63,7 @@
 {
   uint64_t version;
   uint32_t idle_timeout_ms;
-  KqRoute *routes;
+  KqStreamRoute *routes;
   unsigned count;
 } KqRouteTable;
 
@@ -75,8 +75,8 @@
 void kq_route_table_sort (KqRouteTable *table);
 
 /** kq_route_table_find - Return: (borrowed) the route of @key's dialled address, or NULL */
-const KqRoute *kq_route_table_find (const KqRouteTable *table, const KqStreamKey *key);
+const KqStreamRoute *kq_route_table_find (const KqRouteTable *table, const KqStreamKey *key);
 
-/** kq_route_service - Return: the service of a stream by the route's weights; the same hash gives
- * the same service on every instance; 0 when the route has none */
-uint32_t kq_route_service (const KqRoute *route, uint64_t hash);
+/** kq_stream_route_service - Return: the service of a stream by the route's weights; the same hash
+ * gives the same service on every instance; 0 when the route has none */
+uint32_t kq_stream_route_service (const KqStreamRoute *route, uint64_t hash);
--- a/include/kumquat/internal/stream_frame.h
+++ b/include/kumquat/internal/stream_frame.h
@@ -35,7 +35,8 @@
  * @KQ_REFUSAL_BUSY: all slots are taken, and the frame did not allow to wait
  * @KQ_REFUSAL_OVERLOAD: the stream waited, or would wait, for longer than it is useful
  * @KQ_REFUSAL_DRAINING: the target takes no new streams
- * @KQ_REFUSAL_NO_TARGET: the target is not there, does not answer, or has said nothing yet
+ * @KQ_REFUSAL_STARTING: the agent has just started, and the target has said nothing to it yet
+ * @KQ_REFUSAL_NO_TARGET: the target is not there, or does not answer
  * @KQ_REFUSAL_BOUNCED: the target returned the segment
  * @KQ_REFUSAL_WRONG_SERVICE: this agent serves another service, or is another agent
  * @KQ_REFUSAL_UNKNOWN: no such stream here
@@ -46,6 +47,7 @@
   KQ_REFUSAL_BUSY,
   KQ_REFUSAL_OVERLOAD,
   KQ_REFUSAL_DRAINING,
+  KQ_REFUSAL_STARTING,
   KQ_REFUSAL_NO_TARGET,
   KQ_REFUSAL_BOUNCED,
   KQ_REFUSAL_WRONG_SERVICE,
--- a/include/kumquat/internal/stream_metrics.h
+++ b/include/kumquat/internal/stream_metrics.h
@@ -9,7 +9,8 @@
 
 /** kq_stream_metrics_router - sets a balancer's series; @routes is NULL before the first ones */
 void kq_stream_metrics_router (KqMetrics *metrics, const KqStreamRouterStats *stats,
-                               const KqRouteTable *routes, uint64_t malformed);
+                               const KqRouteTable *routes, unsigned serving_targets,
+                               uint64_t malformed);
 
 /** kq_stream_metrics_holder - sets an agent's series */
 void kq_stream_metrics_holder (KqMetrics *metrics, const KqStreamHolderStats *stats,
--- a/include/kumquat/internal/stream_state.h
+++ b/include/kumquat/internal/stream_state.h
@@ -48,6 +48,7 @@
  * @state: see KqStreamState
  * @waits: it is in the list of those that wait
  * @closing: a segment of the caller ended it
+ * @starting: an agent that was asked has yet to hear of its target
  * @gone: its holder's target said that it does not hold it
  * @service: service that it goes to; 0 while searching without a route
  * @owner: agent that it was offered to last, or that holds it
@@ -77,6 +78,7 @@
   KqStreamState state;
   bool waits;
   bool closing;
+  bool starting;
   bool gone;
   uint32_t service;
   uint64_t owner;
--- a/src/connection/stream_frame.c
+++ b/src/connection/stream_frame.c
@@ -140,6 +140,7 @@
     [KQ_REFUSAL_BUSY] = "busy",
     [KQ_REFUSAL_OVERLOAD] = "overload",
     [KQ_REFUSAL_DRAINING] = "draining",
+    [KQ_REFUSAL_STARTING] = "starting",
     [KQ_REFUSAL_NO_TARGET] = "no-target",
     [KQ_REFUSAL_BOUNCED] = "bounced",
     [KQ_REFUSAL_WRONG_SERVICE] = "wrong-service",
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -106,7 +106,9 @@
 refusal (const KqStreamHolder *holder, KqTime now)
 {
   KqTargetState state = holder->life.report.state;
-  if (state == KQ_TARGET_UNKNOWN || state == KQ_TARGET_GONE || now < holder->silent_until)
+  if (state == KQ_TARGET_UNKNOWN && !holder->leaving)
+    return KQ_REFUSAL_STARTING;
+  if (state == KQ_TARGET_GONE || now < holder->silent_until)
     return KQ_REFUSAL_NO_TARGET;
   if (state == KQ_TARGET_DRAINING || holder->leaving)
     return KQ_REFUSAL_DRAINING;
--- a/src/connection/stream_offer.c
+++ b/src/connection/stream_offer.c
@@ -78,6 +78,17 @@
                                    stream->tried_count + stream->busy_count, now);
 }
 
+/* No agent is there yet, or one has still to hear of its target. */
+static void
+ask_again (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  stream->owner = 0;
+  stream->offers = 0;
+  stream->tried_count = 0;
+  stream->starting = false;
+  kq_stream_wait_until (router, stream, now + RETRY_US);
+}
+
 void
 kq_stream_offer (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
@@ -89,10 +100,11 @@
       allow_waiting (stream);
       target = choose (router, stream, now);
     }
+  bool soon = stream->offers == 0 || stream->starting;
   if (target != NULL)
     send_offer (router, stream, target, now);
-  else if (stream->offers == 0 && now - stream->first_at < NO_TARGET_US)
-    kq_stream_wait_until (router, stream, now + RETRY_US);
+  else if (soon && now - stream->first_at < NO_TARGET_US)
+    ask_again (router, stream, now);
   else
     refuse (router, stream, KQ_REFUSAL_NO_TARGET, now);
 }
@@ -118,6 +130,10 @@
       if (stream->busy_count < KQ_STREAM_TRIED_MAX)
         stream->busy[stream->busy_count++] = target->peer.id;
       break;
+    case KQ_REFUSAL_STARTING:
+      stream->starting = true;
+      exclude (stream, target->peer.id);
+      break;
     case KQ_REFUSAL_DRAINING:
       target->serving = false;
       exclude (stream, target->peer.id);
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -80,10 +80,10 @@
 static void
 open_stream (KqStreamRouter *router, const KqSegment *segment, KqTime now)
 {
-  const KqRoute *route =
+  const KqStreamRoute *route =
       router->routes == NULL ? NULL : kq_route_table_find (router->routes, &segment->key);
   uint32_t service =
-      route == NULL ? 0 : kq_route_service (route, kq_stream_key_hash (&segment->key));
+      route == NULL ? 0 : kq_stream_route_service (route, kq_stream_key_hash (&segment->key));
   if (service == 0)
     {
       refuse_without_route (router, segment);
--- a/src/connection/stream_search.c
+++ b/src/connection/stream_search.c
@@ -15,7 +15,7 @@
 static bool
 may_hold (const KqStreamRouter *router, const KqStream *stream, const KqStreamTarget *target)
 {
-  const KqRoute *route =
+  const KqStreamRoute *route =
       router->routes == NULL ? NULL : kq_route_table_find (router->routes, &stream->key);
   if (route == NULL)
     return true;
--- a/src/connection/stream_targets.c
+++ b/src/connection/stream_targets.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "kumquat/internal/stream_targets.h"
+#include "kumquat/panic.h"
 
 /* One way more between failure domains, there and for the answer's bytes, in which the price of
  * traffic between domains is expressed as time. A free slot nearby beats one far away; a queue of a
@@ -132,41 +133,52 @@
 
 /**
  * struct Usual - means over the targets of a service, by their last reports
+ * @doubted: so many targets look failing that none is taken for it
  */
 typedef struct
 {
   uint64_t service_us;
   uint64_t answer_bytes;
+  bool doubted;
 } Usual;
 
+/* Answers are not read here, but one that reports an error comes much sooner than others and is
+ * much shorter. */
+static bool
+looks_failing (const KqStreamTarget *target, const Usual *usual, KqTime now)
+{
+  return target->load_at != 0 && now - target->load_at < FAILING_FADES_US &&
+         (uint64_t)target->load.service_us * FAILING_PARTS < usual->service_us &&
+         (uint64_t)target->load.answer_bytes * FAILING_PARTS < usual->answer_bytes;
+}
+
 static Usual
-usual_of (const KqStreamTargets *targets, uint32_t service)
+usual_of (const KqStreamTargets *targets, uint32_t service, KqTime now)
 {
-  Usual sum = { 0 };
+  Usual usual = { 0 };
+  KqDomainCounts looks = { 0 };
   unsigned count = 0;
   for (unsigned i = 0; i < targets->count; i++)
     {
       const KqStreamTarget *target = &targets->targets[i];
       if (target->service != service || target->load.service_us == 0)
         continue;
-      sum.service_us += target->load.service_us;
-      sum.answer_bytes += target->load.answer_bytes;
+      usual.service_us += target->load.service_us;
+      usual.answer_bytes += target->load.answer_bytes;
       count++;
     }
   if (count == 0)
     return (Usual){ .service_us = SERVICE_FIRST_US };
-  return (Usual){ .service_us = sum.service_us / count, .answer_bytes = sum.answer_bytes / count };
-}
-
-/* Answers are not read here, but one that reports an error comes much sooner than others and is
- * much shorter. Measured against the mean of the service, so that when most targets look alike,
- * none is taken for failing. */
-static bool
-looks_failing (const KqStreamTarget *target, const Usual *usual, KqTime now)
-{
-  return target->load_at != 0 && now - target->load_at < FAILING_FADES_US &&
-         target->load.service_us * FAILING_PARTS < usual->service_us &&
-         target->load.answer_bytes * FAILING_PARTS < usual->answer_bytes;
+  usual.service_us /= count;
+  usual.answer_bytes /= count;
+  for (unsigned i = 0; i < targets->count; i++)
+    {
+      bool failing = looks_failing (&targets->targets[i], &usual, now);
+      if (targets->targets[i].service == service)
+        *(failing ? &looks.suspect : &looks.alive) += 1;
+    }
+  usual.doubted = kq_panic_decide (&looks, 1, KQ_PANIC_PERMILLE).use_suspects;
+  return usual;
 }
 
 /* Time until a request that is sent now is answered, in microseconds. An old report counts for
@@ -176,7 +188,7 @@
 {
   uint64_t usual = usual_load->service_us;
   uint64_t way = target->near ? 0 : FAR_US;
-  if (looks_failing (target, usual_load, now))
+  if (!usual_load->doubted && looks_failing (target, usual_load, now))
     way += FAILING_US;
   KqTime age = now - target->load_at;
   if (target->load_at == 0 || age >= LOAD_FADES_US || target->load.slots == 0)
@@ -200,7 +212,7 @@
   Candidates best = { .count = 0 };
   KqStreamTarget *chosen = NULL;
   KqStreamTarget *resort = NULL;
-  Usual usual = usual_of (targets, service);
+  Usual usual = usual_of (targets, service, now);
   uint64_t lowest = 0;
   for (unsigned i = 0; i < targets->count; i++)
     {
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -279,15 +279,15 @@
   kq_log (LOG_WARNING, "woke-after-pause", "incarnation=%llu", (unsigned long long)incarnation);
 }
 
-static bool
-has_target (const StreamBalancer *balancer)
+static unsigned
+serving_targets (const StreamBalancer *balancer)
 {
   unsigned count;
+  unsigned serving = 0;
   const KqMember *members = kq_control_members (balancer->control, &count);
   for (unsigned i = 0; i < count; i++)
-    if (members[i].role == KQ_ROLE_AGENT && members[i].phase == KQ_PHASE_SERVING)
-      return true;
-  return false;
+    serving += members[i].role == KQ_ROLE_AGENT && members[i].phase == KQ_PHASE_SERVING;
+  return serving;
 }
 
 static bool
@@ -295,7 +295,7 @@
 {
   if (balancer->stopping || kq_stream_router_routes (balancer->router) == NULL)
     return false;
-  return has_target (balancer) || kq_clock_now () - balancer->started_at >= READY_LATEST_US;
+  return serving_targets (balancer) > 0 || kq_clock_now () - balancer->started_at >= READY_LATEST_US;
 }
 
 static void
@@ -325,7 +325,8 @@
     {
       KqStreamRouterStats stats = kq_stream_router_stats (balancer->router);
       const KqRouteTable *routes = kq_stream_router_routes (balancer->router);
-      kq_stream_metrics_router (balancer->metrics, &stats, routes, balancer->malformed);
+      kq_stream_metrics_router (balancer->metrics, &stats, routes, serving_targets (balancer),
+                                balancer->malformed);
       kq_stream_metrics_respond (request, balancer->metrics, balancer->control);
     }
   else
--- a/src/version/route_table.c
+++ b/src/version/route_table.c
@@ -10,7 +10,7 @@
 }
 
 static int
-compare (uint32_t ip, uint16_t port, const KqRoute *route)
+compare (uint32_t ip, uint16_t port, const KqStreamRoute *route)
 {
   if (ip != route->ip)
     return ip < route->ip ? -1 : 1;
@@ -20,7 +20,7 @@
 static int
 compare_routes (const void *a, const void *b)
 {
-  const KqRoute *route = a;
+  const KqStreamRoute *route = a;
   return compare (route->ip, route->port, b);
 }
 
@@ -38,7 +38,7 @@
   return compare (stream->service_ip, stream->service_port, route);
 }
 
-const KqRoute *
+const KqStreamRoute *
 kq_route_table_find (const KqRouteTable *table, const KqStreamKey *key)
 {
   if (table->count == 0)
@@ -47,7 +47,7 @@
 }
 
 uint32_t
-kq_route_service (const KqRoute *route, uint64_t hash)
+kq_stream_route_service (const KqStreamRoute *route, uint64_t hash)
 {
   uint64_t sum = 0;
   for (unsigned i = 0; i < route->service_count; i++)
--- a/tests/integration/reference.py
+++ b/tests/integration/reference.py
@@ -21,7 +21,7 @@
     settings = set(re.findall(r'\{\s*"([a-z_.]+)",\s*KQ_SETTING_', whole))
     metrics = set(re.findall(r'"(kumquat_[a-z0-9_]*[a-z0-9])["{ ]', whole))
     events = set()
-    for call in re.findall(r'kq_(?:group_)?log \((.*?)\);', whole, re.S):
+    for call in re.findall(r'(?:kq_(?:group_|stream_|holder_)?log|ops\.event) \((.*?)\);', whole, re.S):
         head = call.split('",')[0] + '"'
         events |= set(re.findall(r'"([a-z]+(?:-[a-z]+)*)"', head))
     events |= set(re.findall(r'write_line \(LOG_[A-Z]+, "([a-z-]+)"', whole))
--- /dev/null
+++ b/tests/unit/test_platform_formats.c
@@ -0,0 +1,285 @@
+/* The platform's formats: its packets, configuration, heartbeats and store, in examples that were
+ * written by hand from its pages. */
+
+#include <CUnit/Basic.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "adapter.h"
+#include "unit.h"
+
+static const uint8_t syn[] = { 0x04, 0, 0,    0,    0,    0,    0, 0,    0xd5, 0xc3, 0xb2,
+                               0xa1, 1, 0,    0x12, 0xc6, 7,    0, 0x40, 0x64, 0x41, 0x9c,
+                               0xbb, 1, 0x44, 0x33, 0x22, 0x11, 0, 0,    0,    0 };
+static const uint8_t reset[] = { 0x02, 0,    0, 0,    0,    0, 0, 0,    0,    0,    0,
+                                 0,    7,    0, 0x40, 0x64, 1, 0, 0x12, 0xc6, 0xbb, 1,
+                                 0x41, 0x9c, 0, 0,    0,    0, 0, 0,    0,    0 };
+
+static const KqSegmentCodec *
+codec (void)
+{
+  return kq_platform_adapter ()->codec;
+}
+
+static void
+test_opening (void)
+{
+  KqSegment segment;
+  char text[KQ_STREAM_KEY_TEXT_BYTES];
+  CU_ASSERT_EQUAL (codec ()->decode (syn, sizeof syn, false, &segment, NULL), 0);
+  CU_ASSERT_EQUAL (segment.flags, KQ_SEGMENT_SYN);
+  CU_ASSERT_EQUAL (segment.sequence, 0x11223344);
+  CU_ASSERT_EQUAL (segment.payload_size, 0);
+  CU_ASSERT_STRING_EQUAL (kq_stream_key_format (&segment.key, text),
+                          "100.64.0.7:40001>198.18.0.1:443");
+}
+
+static void
+test_same_key_both_ways (void)
+{
+  uint8_t answer[sizeof syn];
+  KqSegment there, back;
+  memcpy (answer, syn, sizeof answer);
+  memcpy (answer + 12, syn + 16, 4);
+  memcpy (answer + 16, syn + 12, 4);
+  memcpy (answer + 20, syn + 22, 2);
+  memcpy (answer + 22, syn + 20, 2);
+  answer[0] = 0x24;
+  codec ()->decode (syn, sizeof syn, false, &there, NULL);
+  CU_ASSERT_EQUAL (codec ()->decode (answer, sizeof answer, true, &back, NULL), 0);
+  CU_ASSERT_TRUE (kq_stream_key_equal (&there.key, &back.key));
+  CU_ASSERT_EQUAL (back.flags, KQ_SEGMENT_SYN | KQ_SEGMENT_ACK);
+}
+
+static void
+test_reset (void)
+{
+  KqSegment segment;
+  uint8_t bytes[64];
+  codec ()->decode (syn, sizeof syn, false, &segment, NULL);
+  CU_ASSERT_EQUAL (codec ()->encode_reset (&segment.key, 0, bytes), sizeof reset);
+  CU_ASSERT_EQUAL (memcmp (bytes, reset, sizeof reset), 0);
+}
+
+/* The tag is the only thing that an agent adds, and what a target returns is what its sender wrote.
+ */
+static void
+test_bounced (void)
+{
+  uint8_t bytes[sizeof syn];
+  KqSegment segment;
+  memcpy (bytes, syn, sizeof bytes);
+  codec ()->set_tag (bytes, 77);
+  bytes[0] |= 0x01;
+  CU_ASSERT_EQUAL (codec ()->decode (bytes, sizeof bytes, true, &segment, NULL), 0);
+  CU_ASSERT_EQUAL (segment.tag, 77);
+  CU_ASSERT_TRUE ((segment.flags & KQ_SEGMENT_BOUNCED) != 0);
+  CU_ASSERT_EQUAL (segment.key.caller_port, 40001);
+  codec ()->clear_bounce (bytes);
+  CU_ASSERT_EQUAL (memcmp (bytes, syn, sizeof syn), 0);
+}
+
+static void
+test_malformed_packets (void)
+{
+  KqSegment segment;
+  uint8_t bytes[sizeof syn + 1];
+  KqError error = { 0 };
+  for (size_t size = 0; size < sizeof syn; size++)
+    CU_ASSERT_EQUAL (codec ()->decode (syn, size, false, &segment, NULL), -1);
+  memcpy (bytes, syn, sizeof syn);
+  CU_ASSERT_EQUAL (codec ()->decode (bytes, sizeof bytes, false, &segment, &error), -1);
+  CU_ASSERT_EQUAL (error.kind, KQ_ERROR_INVALID);
+  bytes[0] = 0x44; /* a flag that nobody knows */
+  CU_ASSERT_EQUAL (codec ()->decode (bytes, sizeof syn, false, &segment, NULL), -1);
+}
+
+static const char configuration[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"b\",\"host\":\"198.18.0.2\",\"prefix\":\"/8443/\",\"type\":\"download\","
+    "\"timeout_ms\":3000,\"target_latency_ms\":500,\"priority\":2,\"service\":\"two\"},"
+    "{\"name\":\"a\",\"host\":\"198.18.0.1\",\"prefix\":\"/443/\",\"type\":\"unsafe\","
+    "\"timeout_ms\":1200,\"target_latency_ms\":200,\"priority\":1,\"backends\":["
+    "{\"service\":\"one\",\"weight\":90},{\"service\":\"two\",\"weight\":10}]}],"
+    "\"limits\":{\"idle_timeout_ms\":15000}}";
+
+static void
+test_configuration (void)
+{
+  KqRouteTable *table =
+      kq_platform_adapter ()->decode_routes (NULL, configuration, sizeof configuration - 1, NULL);
+  CU_ASSERT_FATAL (table != NULL);
+  if (table == NULL)
+    return;
+  KqSegment segment;
+  codec ()->decode (syn, sizeof syn, false, &segment, NULL);
+  const KqStreamRoute *route = kq_route_table_find (table, &segment.key);
+  CU_ASSERT_FATAL (route != NULL);
+  if (route == NULL)
+    return;
+  CU_ASSERT_EQUAL (table->version, 7);
+  CU_ASSERT_EQUAL (table->idle_timeout_ms, 15000);
+  CU_ASSERT_EQUAL (route->kind, KQ_ROUTE_ONCE);
+  CU_ASSERT_EQUAL (route->priority, 1);
+  CU_ASSERT_EQUAL (route->objective_ms, 200);
+  CU_ASSERT_EQUAL (route->timeout_ms, 1200);
+  CU_ASSERT_EQUAL (route->service_count, 2);
+  unsigned first = 0;
+  for (uint64_t i = 0; i < 1000; i++)
+    first += kq_stream_route_service (route, i << 54 | i) == kq_service_number ("one");
+  CU_ASSERT_TRUE (first > 860 && first < 940);
+  segment.key.service_port = 444;
+  CU_ASSERT_PTR_NULL (kq_route_table_find (table, &segment.key));
+  talloc_free (table);
+}
+
+static void
+test_bad_configurations (void)
+{
+  static const char *const bad[] = {
+    "",
+    "{",
+    "[]",
+    "{\"routes\":[]}",
+    "{\"version\":\"7\",\"routes\":[]}",
+    "{\"version\":7}",
+    "{\"version\":7,\"routes\":[{\"host\":\"nowhere\",\"prefix\":\"/1/\"}]}",
+    "{\"version\":7,\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"/99999/\"}]}",
+    "{\"version\":7,\"routes\":[{\"host\":\"1.2.3.4\",\"prefix\":\"443\"}]}",
+  };
+  for (unsigned i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      KqError error = { 0 };
+      CU_ASSERT_PTR_NULL (
+          kq_platform_adapter ()->decode_routes (NULL, bad[i], strlen (bad[i]), &error));
+      CU_ASSERT_EQUAL (error.kind, KQ_ERROR_INVALID);
+    }
+}
+
+static int
+read_report (const char *path, const char *body, KqTargetReport *report, KqError *error)
+{
+  return kq_platform_adapter ()->decode_report ("POST", path, body, strlen (body), report, error);
+}
+
+static void
+test_heartbeats (void)
+{
+  KqTargetReport report;
+  KqError error = { 0 };
+  CU_ASSERT_EQUAL (read_report ("/-/instances/i-7/heartbeat",
+                                "{\"service\":\"one\",\"slots\":5,\"state\":\"ready\","
+                                "\"cold_remaining_ms\":1200,\"seq\":4,\"born\":1700000000123}",
+                                &report, &error),
+                   0);
+  CU_ASSERT_STRING_EQUAL (report.id, "i-7");
+  CU_ASSERT_EQUAL (report.service, kq_service_number ("one"));
+  CU_ASSERT_EQUAL (report.state, KQ_TARGET_READY);
+  CU_ASSERT_EQUAL (report.slots, 5);
+  CU_ASSERT_EQUAL (report.cold_ms, 1200);
+  CU_ASSERT_EQUAL (report.sequence, 4);
+  CU_ASSERT_EQUAL (report.born_ms, 1700000000123);
+  CU_ASSERT_EQUAL (read_report ("/-/instances/i-7/deregister", "", &report, &error), 0);
+  CU_ASSERT_EQUAL (report.state, KQ_TARGET_GONE);
+}
+
+static void
+test_bad_heartbeats (void)
+{
+  static const char *const bad[] = {
+    "",
+    "null",
+    "{\"state\":\"ready\",\"seq\":1}",
+    "{\"service\":\"one\",\"state\":\"asleep\",\"seq\":1}",
+    "{\"service\":\"one\",\"state\":\"ready\",\"seq\":\"1\"}",
+    "{\"service\":1,\"state\":\"ready\",\"seq\":1}",
+    "{\"service\":\"one\",\"state\":\"ready\",\"seq\":-1}",
+  };
+  KqTargetReport report;
+  for (unsigned i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      KqError error = { 0 };
+      CU_ASSERT_EQUAL (read_report ("/-/instances/i-7/heartbeat", bad[i], &report, &error), -1);
+      CU_ASSERT_EQUAL (error.kind, KQ_ERROR_INVALID);
+    }
+  static const char *const paths[] = { "/", "/-/instances/heartbeat", "/-/instances//heartbeat",
+                                       "/-/instances/a/b/heartbeat", "/-/instances/a" };
+  for (unsigned i = 0; i < sizeof paths / sizeof paths[0]; i++)
+    {
+      KqError error = { 0 };
+      CU_ASSERT_EQUAL (read_report (paths[i], bad[2], &report, &error), -1);
+      CU_ASSERT_EQUAL (error.kind, KQ_ERROR_NOT_FOUND);
+    }
+}
+
+static void
+test_store_calls (void)
+{
+  const KqStoreDialect *store = kq_platform_adapter ()->store;
+  void *scope = talloc_new (NULL);
+  KqStoreCall call = { 0 };
+  KqStoreRange range = { .prefix = "op/config", .stale = true };
+  KqStoreWrite write = { .key = "kq/a", .bytes = (const uint8_t *)"x", .size = 1 };
+  store->range (scope, &range, &call);
+  CU_ASSERT_STRING_EQUAL (call.path, "/-/kv-range?prefix=op/config&allow_stale=1");
+  store->watch (scope, "op/config", 412, &call);
+  CU_ASSERT_STRING_EQUAL (call.path, "/-/kv-watch?prefix=op/config&after=411&wait_ms=1500");
+  store->writes (scope, &write, 1, &call);
+  CU_ASSERT_STRING_EQUAL (call.body, "{\"expected_rev\":[{\"key\":\"kq/a\",\"revision\":0}],"
+                                     "\"puts\":[{\"key\":\"kq/a\",\"value\":\"eA==\",\"lease_id\":"
+                                     "0}],\"remove\":[]}");
+  talloc_free (scope);
+}
+
+static KqStoreMessage *
+answer (void *scope, unsigned status, const char *text)
+{
+  KqError error = { 0 };
+  return kq_platform_adapter ()->store->decode (scope, status, text, strlen (text), &error);
+}
+
+static void
+test_store_answers (void)
+{
+  void *scope = talloc_new (NULL);
+  KqStoreMessage *message =
+      answer (scope, 200,
+              "{\"events\":[{\"key\":\"op/config\",\"value\":\"aGk=\",\"revision\":412},"
+              "{\"key\":\"op/old\",\"revision\":413,\"tombstone\":true},{\"value\":\"aGk=\"}],"
+              "\"store_revision\":413}");
+  CU_ASSERT_FATAL (message != NULL);
+  if (message == NULL)
+    return;
+  CU_ASSERT_EQUAL (message->revision, 413);
+  CU_ASSERT_EQUAL_FATAL (message->count, 2);
+  CU_ASSERT_EQUAL (message->values[0].mod_revision, 412);
+  CU_ASSERT_EQUAL (memcmp (message->values[0].bytes, "hi", 2), 0);
+  CU_ASSERT_EQUAL (message->values[1].mod_revision, 0);
+  message = answer (scope, 410, "");
+  CU_ASSERT_TRUE (message != NULL && message->compacted);
+  message = answer (scope, 412, "{\"items\":[]}");
+  CU_ASSERT_TRUE (message != NULL && !message->succeeded);
+  CU_ASSERT_PTR_NULL (answer (scope, 503, ""));
+  CU_ASSERT_PTR_NULL (answer (scope, 429, "{}"));
+  CU_ASSERT_PTR_NULL (answer (scope, 200, "<html>"));
+  talloc_free (scope);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "an opening packet of the pages", test_opening },
+    { "a stream has one key both ways", test_same_key_both_ways },
+    { "a reset of the pages", test_reset },
+    { "a tag comes back and leaves no trace", test_bounced },
+    { "malformed packets are refused", test_malformed_packets },
+    { "a configuration", test_configuration },
+    { "malformed configurations are refused", test_bad_configurations },
+    { "heartbeats and leaves", test_heartbeats },
+    { "heartbeats of other writers name no target", test_bad_heartbeats },
+    { "calls to the store", test_store_calls },
+    { "answers of the store", test_store_answers },
+  };
+  return kq_unit_run ("platform formats", tests, sizeof tests / sizeof tests[0]);
+}
--- /dev/null
+++ b/tests/unit/test_stream_holder.c
@@ -0,0 +1,472 @@
+/* An agent's decisions about streams, with balancers and a target played by the test. */
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/stream_holder.h"
+#include "unit.h"
+
+#define AGENT   100
+#define SERVICE 7
+#define SLOTS   2
+#define ROOM    3 /* streams that SLOTS let in before one must wait */
+#define FIRST   5000
+
+typedef struct
+{
+  KqStreamHolder *holder;
+  KqStreamFrame answer;
+  unsigned answers;
+  unsigned delivered;
+  uint32_t last_tag;
+  unsigned to_callers;
+} Fixture;
+
+static const KqAddress balancer = { .port = 9 };
+
+static void
+take_answer (const KqAddress *to, const KqStreamFrame *frame, void *data)
+{
+  Fixture *fixture = data;
+  (void)to;
+  fixture->answer = *frame;
+  fixture->answers++;
+}
+
+static void
+deliver (const uint8_t *bytes, size_t size, uint32_t tag, void *data)
+{
+  Fixture *fixture = data;
+  (void)bytes;
+  (void)size;
+  fixture->delivered++;
+  fixture->last_tag = tag;
+}
+
+static void
+to_caller (const KqStreamKey *key, const uint8_t *bytes, size_t size, void *data)
+{
+  Fixture *fixture = data;
+  (void)key;
+  (void)bytes;
+  (void)size;
+  fixture->to_callers++;
+}
+
+static void
+log_event (int level, const char *name, const char *details, void *data)
+{
+  (void)level;
+  (void)name;
+  (void)details;
+  (void)data;
+}
+
+static KqTargetChange
+report (Fixture *fixture, uint64_t born_ms, uint64_t sequence, KqTargetState state, KqTime age,
+        KqTime now)
+{
+  KqTargetReport said = { .id = "t",
+                          .service = SERVICE,
+                          .born_ms = born_ms,
+                          .sequence = sequence,
+                          .state = state,
+                          .slots = SLOTS };
+  return kq_stream_holder_report (fixture->holder, &said, age, now);
+}
+
+/* An agent whose target began with it, or that knows nothing of its target's past. */
+static Fixture *
+set_up (bool complete)
+{
+  static const KqStreamHolderOps ops = { take_answer, deliver, to_caller, log_event };
+  static const KqStreamHolderParams params = { .agent = AGENT, .service = SERVICE };
+  Fixture *fixture = talloc_zero (NULL, Fixture);
+  fixture->holder = kq_stream_holder_new (fixture, &params, &ops, fixture, 0);
+  report (fixture, 10, 1, KQ_TARGET_READY, complete ? 0 : 30 * KQ_SECOND, 0);
+  return fixture;
+}
+
+static KqSegment
+segment_of (uint16_t port, unsigned flags, uint32_t sequence, uint32_t acknowledged, unsigned size)
+{
+  static const uint8_t bytes[32];
+  return (KqSegment){ .key = { .caller_ip = 1, .caller_port = port, .service_ip = 2 },
+                      .flags = flags,
+                      .sequence = sequence,
+                      .acknowledged = acknowledged,
+                      .payload_size = size,
+                      .bytes = bytes,
+                      .size = sizeof bytes };
+}
+
+static void
+give (Fixture *fixture, KqStreamFrameType type, const KqSegment *segment, bool may_wait, KqTime now)
+{
+  KqStreamFrame frame = {
+    .type = type,
+    .service = SERVICE,
+    .agent = AGENT,
+    .attempt = 40,
+    .key = segment->key,
+    .need = { .priority = 1, .objective_ms = 200, .timeout_ms = 1200, .may_wait = may_wait },
+    .segment = segment->bytes,
+    .segment_size = segment->size
+  };
+  kq_stream_holder_frame (fixture->holder, &balancer, &frame, segment, now);
+}
+
+static void
+offer (Fixture *fixture, uint16_t port, bool may_wait, KqTime now)
+{
+  KqSegment segment = segment_of (port, KQ_SEGMENT_SYN, 1, 0, 0);
+  give (fixture, KQ_FRAME_OPEN, &segment, may_wait, now);
+}
+
+static void
+caller_sends (Fixture *fixture, uint16_t port, uint32_t sequence, unsigned size, KqTime now)
+{
+  KqSegment segment = segment_of (port, KQ_SEGMENT_ACK, sequence, FIRST + 1, size);
+  give (fixture, KQ_FRAME_CARRY, &segment, false, now);
+}
+
+static void
+target_sends (Fixture *fixture, uint16_t port, unsigned flags, uint32_t sequence, unsigned size,
+              uint32_t tag, KqTime now)
+{
+  KqSegment segment = segment_of (port, flags, sequence, 0, size);
+  segment.from_target = true;
+  segment.tag = tag;
+  kq_stream_holder_segment (fixture->holder, &segment, now);
+}
+
+static void
+accept_stream (Fixture *fixture, uint16_t port, KqTime now)
+{
+  target_sends (fixture, port, KQ_SEGMENT_SYN | KQ_SEGMENT_ACK, FIRST, 0, 0, now);
+}
+
+static unsigned
+running (const Fixture *fixture)
+{
+  return kq_stream_holder_load (fixture->holder).running;
+}
+
+static void
+test_open_request_answer (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  CU_ASSERT_EQUAL (fixture->delivered, 1);
+  CU_ASSERT_EQUAL (fixture->answers, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_HOLDS);
+  CU_ASSERT_EQUAL (fixture->answer.attempt, 40);
+  caller_sends (fixture, 1, 2, 100, 5 * KQ_MS);
+  CU_ASSERT_EQUAL (running (fixture), 1);
+  target_sends (fixture, 1, KQ_SEGMENT_ACK, FIRST + 1, 600, 0, 45 * KQ_MS);
+  CU_ASSERT_EQUAL (running (fixture), 0);
+  CU_ASSERT_EQUAL (kq_stream_holder_stats (fixture->holder).requests, 1);
+  CU_ASSERT_EQUAL (fixture->to_callers, 2);
+  talloc_free (fixture);
+}
+
+/* Regression: after a power loss, agents counted 7 running requests for seconds and opened nothing.
+ */
+static void
+test_repeated_request_is_no_load (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  caller_sends (fixture, 1, 2, 100, 5 * KQ_MS);
+  target_sends (fixture, 1, KQ_SEGMENT_ACK, FIRST + 1, 600, 0, 45 * KQ_MS);
+  caller_sends (fixture, 1, 2, 100, 50 * KQ_MS);
+  CU_ASSERT_EQUAL (running (fixture), 0);
+  caller_sends (fixture, 1, 102, 100, 60 * KQ_MS);
+  CU_ASSERT_EQUAL (running (fixture), 1);
+  talloc_free (fixture);
+}
+
+/* Regression: a caller that had given up closed, its target closed too, and a slot stayed taken. */
+static void
+test_end_without_answer (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  caller_sends (fixture, 1, 2, 100, 5 * KQ_MS);
+  target_sends (fixture, 1, KQ_SEGMENT_FIN | KQ_SEGMENT_ACK, FIRST + 1, 0, 0, 6 * KQ_MS);
+  CU_ASSERT_EQUAL (running (fixture), 0);
+  CU_ASSERT_EQUAL (kq_stream_holder_stats (fixture->holder).requests, 0);
+  talloc_free (fixture);
+}
+
+/* The end of an answer overtakes the data in front of it. */
+static void
+test_end_before_its_data (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  caller_sends (fixture, 1, 2, 100, 5 * KQ_MS);
+  target_sends (fixture, 1, KQ_SEGMENT_FIN | KQ_SEGMENT_ACK, FIRST + 601, 0, 0, 45 * KQ_MS);
+  target_sends (fixture, 1, KQ_SEGMENT_ACK, FIRST + 1, 600, 0, 45 * KQ_MS);
+  CU_ASSERT_EQUAL (running (fixture), 0);
+  CU_ASSERT_EQUAL (kq_stream_holder_stats (fixture->holder).requests, 1);
+  talloc_free (fixture);
+}
+
+static void
+test_opened_without_request (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  kq_stream_holder_tick (fixture->holder, 70 * KQ_MS);
+  CU_ASSERT_EQUAL (running (fixture), 0);
+  caller_sends (fixture, 1, 2, 100, 80 * KQ_MS);
+  CU_ASSERT_EQUAL (running (fixture), 1);
+  talloc_free (fixture);
+}
+
+static void
+test_busy_and_waiting (void)
+{
+  Fixture *fixture = set_up (true);
+  for (uint16_t port = 1; port <= ROOM; port++)
+    offer (fixture, port, false, 0);
+  CU_ASSERT_EQUAL (fixture->delivered, ROOM);
+  offer (fixture, 8, false, 0);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_BUSY);
+  CU_ASSERT_EQUAL (fixture->answer.load.running, ROOM);
+  offer (fixture, 9, true, 0);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_WAITING);
+  CU_ASSERT_EQUAL (fixture->delivered, ROOM);
+  accept_stream (fixture, 1, KQ_MS);
+  caller_sends (fixture, 1, 2, 100, KQ_MS);
+  target_sends (fixture, 1, KQ_SEGMENT_ACK, FIRST + 1, 600, 0, 40 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->delivered, ROOM + 2);
+  accept_stream (fixture, 9, 41 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_HOLDS);
+  talloc_free (fixture);
+}
+
+static void
+test_waits_too_long (void)
+{
+  Fixture *fixture = set_up (true);
+  for (uint16_t port = 1; port <= ROOM; port++)
+    offer (fixture, port, false, 0);
+  offer (fixture, 9, true, 0);
+  for (uint16_t port = 1; port <= ROOM; port++)
+    {
+      accept_stream (fixture, port, KQ_MS);
+      caller_sends (fixture, port, 2, 100, KQ_MS);
+    }
+  kq_stream_holder_tick (fixture->holder, 1300 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_DECLINED);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_OVERLOAD);
+  CU_ASSERT_EQUAL (fixture->answer.key.caller_port, 9);
+  talloc_free (fixture);
+}
+
+static void
+test_withdrawn (void)
+{
+  Fixture *fixture = set_up (true);
+  for (uint16_t port = 1; port <= ROOM; port++)
+    offer (fixture, port, false, 0);
+  offer (fixture, 9, true, 0);
+  KqSegment segment = segment_of (9, KQ_SEGMENT_SYN, 1, 0, 0);
+  give (fixture, KQ_FRAME_WITHDRAW, &segment, false, KQ_MS);
+  CU_ASSERT_EQUAL (kq_stream_holder_load (fixture->holder).waiting, 0);
+  talloc_free (fixture);
+}
+
+/* From the acknowledgement on, nothing new reaches a target that drains; what it holds goes on. */
+static void
+test_draining (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  for (uint16_t port = 2; port <= ROOM; port++)
+    offer (fixture, port, false, KQ_MS);
+  offer (fixture, 9, true, KQ_MS);
+  CU_ASSERT_EQUAL (report (fixture, 10, 2, KQ_TARGET_DRAINING, 0, 2 * KQ_MS), KQ_TARGET_CHANGED);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_DRAINING);
+  CU_ASSERT_EQUAL (fixture->answer.key.caller_port, 9);
+  unsigned before = fixture->delivered;
+  offer (fixture, 10, true, 3 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_DRAINING);
+  CU_ASSERT_EQUAL (fixture->delivered, before);
+  caller_sends (fixture, 1, 2, 100, 4 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->delivered, before + 1);
+  /* A late heartbeat of the same life takes nothing back. */
+  CU_ASSERT_EQUAL (report (fixture, 10, 1, KQ_TARGET_READY, 0, 5 * KQ_MS), KQ_TARGET_LATE);
+  CU_ASSERT_FALSE (kq_stream_holder_takes_new (fixture->holder));
+  talloc_free (fixture);
+}
+
+/* An agent that has just started does not know whether its target drains. */
+static void
+test_unknown_target_takes_nothing (void)
+{
+  static const KqStreamHolderOps ops = { take_answer, deliver, to_caller, log_event };
+  static const KqStreamHolderParams params = { .agent = AGENT, .service = SERVICE };
+  Fixture *fixture = talloc_zero (NULL, Fixture);
+  fixture->holder = kq_stream_holder_new (fixture, &params, &ops, fixture, 0);
+  offer (fixture, 1, true, 0);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_STARTING);
+  CU_ASSERT_EQUAL (fixture->delivered, 0);
+  talloc_free (fixture);
+}
+
+static void
+test_wrong_service (void)
+{
+  Fixture *fixture = set_up (true);
+  KqSegment segment = segment_of (1, KQ_SEGMENT_SYN, 1, 0, 0);
+  KqStreamFrame frame = { .type = KQ_FRAME_OPEN, .service = SERVICE + 1, .agent = AGENT };
+  kq_stream_holder_frame (fixture->holder, &balancer, &frame, &segment, 0);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_WRONG_SERVICE);
+  frame.service = SERVICE;
+  frame.agent = AGENT + 1;
+  frame.type = KQ_FRAME_CARRY;
+  kq_stream_holder_frame (fixture->holder, &balancer, &frame, &segment, 0);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_WRONG_SERVICE);
+  CU_ASSERT_EQUAL (fixture->delivered, 0);
+  talloc_free (fixture);
+}
+
+static void
+test_bounced_opening (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  target_sends (fixture, 1, KQ_SEGMENT_SYN | KQ_SEGMENT_BOUNCED, 1, 0, 0, KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_BOUNCED);
+  CU_ASSERT_EQUAL (fixture->answer.attempt, 40);
+  CU_ASSERT_EQUAL (running (fixture), 0);
+  talloc_free (fixture);
+}
+
+static void
+test_silent_target (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  kq_stream_holder_tick (fixture->holder, 80 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_NO_TARGET);
+  offer (fixture, 2, false, 81 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_NO_TARGET);
+  CU_ASSERT_EQUAL (fixture->delivered, 1);
+  offer (fixture, 3, false, KQ_SECOND);
+  CU_ASSERT_EQUAL (fixture->delivered, 2);
+  talloc_free (fixture);
+}
+
+static void
+test_target_is_gone (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  caller_sends (fixture, 1, 2, 100, 2 * KQ_MS);
+  kq_stream_holder_unreachable (fixture->holder, 3 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_DECLINED);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_BOUNCED);
+  CU_ASSERT_EQUAL (fixture->answer.attempt, 0);
+  CU_ASSERT_EQUAL (kq_stream_holder_stats (fixture->holder).streams, 0);
+  talloc_free (fixture);
+}
+
+static void
+test_reborn_target_holds_nothing (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  CU_ASSERT_EQUAL (report (fixture, 20, 1, KQ_TARGET_READY, 0, KQ_SECOND), KQ_TARGET_REBORN);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_BOUNCED);
+  caller_sends (fixture, 1, 2, 100, KQ_SECOND);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_UNKNOWN);
+  CU_ASSERT_EQUAL (fixture->delivered, 1);
+  talloc_free (fixture);
+}
+
+/* Two targets accepted one opening, and the caller answers the other one. */
+static void
+test_answer_to_another_target (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  KqSegment segment = segment_of (1, KQ_SEGMENT_ACK, 2, FIRST - 1000000, 100);
+  give (fixture, KQ_FRAME_CARRY, &segment, false, 2 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_UNKNOWN);
+  CU_ASSERT_EQUAL (fixture->delivered, 1);
+  talloc_free (fixture);
+}
+
+static void
+test_restarted_agent_asks_its_target (void)
+{
+  Fixture *fixture = set_up (false);
+  KqSegment find = segment_of (1, 0, 0, 0, 0);
+  give (fixture, KQ_FRAME_FIND, &find, false, 0);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_MAYBE);
+  caller_sends (fixture, 1, 2, 100, KQ_MS);
+  CU_ASSERT_TRUE (fixture->last_tag != 0);
+  target_sends (fixture, 1, KQ_SEGMENT_ACK | KQ_SEGMENT_BOUNCED, 2, 100, fixture->last_tag,
+                2 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_DECLINED);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_UNKNOWN);
+  /* What the target sends shows what it holds. */
+  target_sends (fixture, 2, KQ_SEGMENT_ACK, 77, 100, 0, 3 * KQ_MS);
+  find = segment_of (2, 0, 0, 0, 0);
+  give (fixture, KQ_FRAME_FIND, &find, false, 4 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_HOLDS);
+  talloc_free (fixture);
+}
+
+static void
+test_complete_agent_tells_at_once (void)
+{
+  Fixture *fixture = set_up (true);
+  KqSegment find = segment_of (1, 0, 0, 0, 0);
+  give (fixture, KQ_FRAME_FIND, &find, false, 0);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_DECLINED);
+  caller_sends (fixture, 1, 2, 100, KQ_MS);
+  CU_ASSERT_EQUAL (fixture->delivered, 0);
+  talloc_free (fixture);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "open, request, answer", test_open_request_answer },
+    { "a repeated request is no load", test_repeated_request_is_no_load },
+    { "an end without an answer frees the slot", test_end_without_answer },
+    { "an end that overtakes its data", test_end_before_its_data },
+    { "an opened stream without a request frees the slot", test_opened_without_request },
+    { "busy, waiting, opened", test_busy_and_waiting },
+    { "who waits too long is refused", test_waits_too_long },
+    { "a withdrawn stream is not opened", test_withdrawn },
+    { "draining", test_draining },
+    { "a target that has said nothing takes nothing", test_unknown_target_takes_nothing },
+    { "another service or agent", test_wrong_service },
+    { "a bounced opening", test_bounced_opening },
+    { "a silent target", test_silent_target },
+    { "a target that is gone", test_target_is_gone },
+    { "a reborn target holds nothing", test_reborn_target_holds_nothing },
+    { "an answer to another target", test_answer_to_another_target },
+    { "a restarted agent asks its target", test_restarted_agent_asks_its_target },
+    { "a complete agent tells at once", test_complete_agent_tells_at_once },
+  };
+  return kq_unit_run ("stream holder", tests, sizeof tests / sizeof tests[0]);
+}
--- /dev/null
+++ b/tests/unit/test_stream_targets.c
@@ -0,0 +1,190 @@
+/* Which agent a balancer asks first. */
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "kumquat/internal/stream_targets.h"
+#include "unit.h"
+
+#define SERVICE 7
+#define TARGETS 6
+#define STREAMS 600
+
+typedef struct
+{
+  KqStreamTargets *targets;
+  KqMember members[TARGETS];
+} Fixture;
+
+static Fixture *
+set_up (void)
+{
+  Fixture *fixture = talloc_zero (NULL, Fixture);
+  fixture->targets = kq_stream_targets_new (fixture, "near");
+  for (unsigned i = 0; i < TARGETS; i++)
+    {
+      KqMember *member = &fixture->members[i];
+      *member = (KqMember){ .role = KQ_ROLE_AGENT, .phase = KQ_PHASE_SERVING, .service = SERVICE };
+      member->peer.id = 100 + i;
+      snprintf (member->failure_domain, KQ_NAME_BYTES, "%s", "near");
+    }
+  kq_stream_targets_set (fixture->targets, fixture->members, TARGETS);
+  return fixture;
+}
+
+static void
+say (Fixture *fixture, uint64_t id, unsigned running, uint32_t service_us, uint32_t answer_bytes)
+{
+  KqTargetLoad load = {
+    .running = running, .slots = 5, .service_us = service_us, .answer_bytes = answer_bytes
+  };
+  kq_stream_target_answered (kq_stream_targets_find (fixture->targets, id), &load, 1);
+}
+
+/* Return: how many of STREAMS streams go to @id first. */
+static unsigned
+chosen (const Fixture *fixture, uint64_t id, KqTime now)
+{
+  unsigned count = 0;
+  for (uint64_t hash = 1; hash <= STREAMS; hash++)
+    {
+      const KqStreamTarget *target = kq_stream_targets_choose (
+          fixture->targets, SERVICE, hash * UINT64_C (0x9e3779b97f4a7c15), NULL, 0, now);
+      count += target != NULL && target->peer.id == id;
+    }
+  return count;
+}
+
+static void
+test_only_serving_targets_of_the_service (void)
+{
+  Fixture *fixture = set_up ();
+  fixture->members[0].phase = KQ_PHASE_DRAINING;
+  fixture->members[1].service = SERVICE + 1;
+  kq_stream_targets_set (fixture->targets, fixture->members, TARGETS);
+  CU_ASSERT_EQUAL (chosen (fixture, 100, 2), 0);
+  CU_ASSERT_EQUAL (chosen (fixture, 101, 2), 0);
+  for (unsigned i = 2; i < TARGETS; i++)
+    CU_ASSERT_TRUE (chosen (fixture, 100 + i, 2) > STREAMS / 10);
+  talloc_free (fixture);
+}
+
+static void
+test_less_loaded_first (void)
+{
+  Fixture *fixture = set_up ();
+  for (unsigned i = 0; i < TARGETS; i++)
+    say (fixture, 100 + i, i == 3 ? 0 : 9, 40000, 4000);
+  CU_ASSERT_EQUAL (chosen (fixture, 103, 2), STREAMS);
+  talloc_free (fixture);
+}
+
+static void
+test_slow_target_is_avoided (void)
+{
+  Fixture *fixture = set_up ();
+  for (unsigned i = 0; i < TARGETS; i++)
+    say (fixture, 100 + i, 1, i == 3 ? 200000 : 40000, 4000);
+  CU_ASSERT_EQUAL (chosen (fixture, 103, 2), 0);
+  /* It is tried again when that report is old. */
+  CU_ASSERT_TRUE (chosen (fixture, 103, 3 * KQ_SECOND) > 0);
+  talloc_free (fixture);
+}
+
+/* Answers that are short and come at once are errors; such a target must not draw all streams. */
+static void
+test_failing_target_is_avoided (void)
+{
+  Fixture *fixture = set_up ();
+  for (unsigned i = 0; i < TARGETS; i++)
+    say (fixture, 100 + i, 2, i == 3 ? 2000 : 40000, i == 3 ? 150 : 4000);
+  CU_ASSERT_EQUAL (chosen (fixture, 103, 2), 0);
+  CU_ASSERT_EQUAL (chosen (fixture, 103, 3 * KQ_SECOND), 0);
+  CU_ASSERT_TRUE (chosen (fixture, 103, 7 * KQ_SECOND) > 0);
+  talloc_free (fixture);
+}
+
+/* A target that is only fast is none of that. */
+static void
+test_fast_target_is_used (void)
+{
+  Fixture *fixture = set_up ();
+  for (unsigned i = 0; i < TARGETS; i++)
+    say (fixture, 100 + i, 1, i == 3 ? 10000 : 40000, 4000);
+  CU_ASSERT_TRUE (chosen (fixture, 103, 2) > 0);
+  talloc_free (fixture);
+}
+
+/* When most targets look alike, none is left out. */
+static void
+test_most_look_failing (void)
+{
+  Fixture *fixture = set_up ();
+  for (unsigned i = 0; i < TARGETS; i++)
+    say (fixture, 100 + i, 1, i == 3 ? 40000 : 2000, i == 3 ? 4000 : 150);
+  unsigned others = 0;
+  for (unsigned i = 0; i < TARGETS; i++)
+    others += i == 3 ? 0 : chosen (fixture, 100 + i, 3 * KQ_SECOND);
+  CU_ASSERT_TRUE (others > 0);
+  talloc_free (fixture);
+}
+
+static void
+test_near_first (void)
+{
+  Fixture *fixture = set_up ();
+  for (unsigned i = 0; i < TARGETS; i++)
+    snprintf (fixture->members[i].failure_domain, KQ_NAME_BYTES, "%s", i < 2 ? "near" : "far");
+  kq_stream_targets_set (fixture->targets, fixture->members, TARGETS);
+  for (unsigned i = 0; i < TARGETS; i++)
+    say (fixture, 100 + i, 1, 40000, 4000);
+  CU_ASSERT_EQUAL (chosen (fixture, 100, 2) + chosen (fixture, 101, 2), STREAMS);
+  say (fixture, 100, 9, 40000, 4000);
+  say (fixture, 101, 9, 40000, 4000);
+  CU_ASSERT_EQUAL (chosen (fixture, 100, 2) + chosen (fixture, 101, 2), 0);
+  talloc_free (fixture);
+}
+
+static void
+test_silent_last (void)
+{
+  Fixture *fixture = set_up ();
+  uint64_t tried[TARGETS - 1] = { 100, 101, 102, 104, 105 };
+  kq_stream_target_silent (kq_stream_targets_find (fixture->targets, 103), 0);
+  CU_ASSERT_EQUAL (chosen (fixture, 103, KQ_MS), 0);
+  const KqStreamTarget *target =
+      kq_stream_targets_choose (fixture->targets, SERVICE, 1, tried, TARGETS - 1, KQ_MS);
+  CU_ASSERT_TRUE (target != NULL && target->peer.id == 103);
+  CU_ASSERT_TRUE (chosen (fixture, 103, 2 * KQ_SECOND) > 0);
+  talloc_free (fixture);
+}
+
+static void
+test_a_new_life_is_unknown (void)
+{
+  Fixture *fixture = set_up ();
+  say (fixture, 103, 9, 400000, 4000);
+  fixture->members[3].peer.incarnation++;
+  kq_stream_targets_set (fixture->targets, fixture->members, TARGETS);
+  CU_ASSERT_EQUAL (kq_stream_targets_find (fixture->targets, 103)->load_at, 0);
+  talloc_free (fixture);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "only serving targets of the service", test_only_serving_targets_of_the_service },
+    { "the less loaded first", test_less_loaded_first },
+    { "a slow target is avoided, and tried again", test_slow_target_is_avoided },
+    { "a failing target is avoided", test_failing_target_is_avoided },
+    { "a fast target is used", test_fast_target_is_used },
+    { "most look failing: none is left out", test_most_look_failing },
+    { "near before far, unless all slots are taken", test_near_first },
+    { "a silent agent comes last", test_silent_last },
+    { "a new life of an agent is unknown", test_a_new_life_is_unknown },
+  };
+  return kq_unit_run ("stream targets", tests, sizeof tests / sizeof tests[0]);
+}
