HTTP client on http_parser instead of libcurl

Change: the same interface on http_parser and the product's own timer. Conclusion: kept, although a library stood there before: recovery is what this project is for.

--- a/include/kumquat/internal/http_client.h
+++ b/include/kumquat/internal/http_client.h
@@ -1,4 +1,4 @@
-/* HTTP client on a tevent loop, over libcurl's multi-socket interface. */
+/* HTTP/1.1 client on a tevent loop; http_parser reads the answers. */
 #pragma once
 
 #include <tevent.h>
@@ -35,8 +35,8 @@
  * @bearer: (nullable): value of the Authorization header after "Bearer "
  * @body: (nullable): JSON to send
  * @timeout_us: limit of the whole call; 0 means that only connecting is limited
- * @fresh: use a new connection. libcurl repeats a request by itself when a kept connection turns
- *   out to be dead, which would hide whether a write was sent once or twice
+ * @fresh: use a new connection and do not keep it. A GET is repeated once when a kept connection
+ *   turns out to be dead; a write must not be
  * @chunk: (nullable): takes the body piece by piece; Return: false to end the call
  * @done: called once, unless the call is freed first
  * @data: context pointer of the callbacks
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -39,6 +39,7 @@
   return holder;
 }
 
+/* A stream that its target has ended needs no word any more. */
 static void
 drop_all (KqStreamHolder *holder)
 {
@@ -46,7 +47,10 @@
   for (held = TAILQ_FIRST (&holder->by_use); held != NULL; held = next)
     {
       next = TAILQ_NEXT (held, by_use);
-      kq_held_gone (holder, held);
+      if (held->target_ended)
+        kq_held_free (holder, held);
+      else
+        kq_held_gone (holder, held);
     }
 }
 
--- a/src/process/http_client.c
+++ b/src/process/http_client.c
@@ -1,184 +1,389 @@
-#include <curl/curl.h>
+/* A call owns a connection from its first byte until its answer is complete; then the connection
+ * waits for the next call to the same address. Timeouts follow the monotonic clock. */
+
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <talloc.h>
+#include <unistd.h>
 
+#include "kumquat/internal/clock.h"
 #include "kumquat/internal/http_client.h"
+#include "kumquat/internal/timer.h"
+#include "kumquat/internal/udp_socket.h"
+
+#define CONNECT_US     (1000 * KQ_MS) /* a peer that is there accepts within a round trip */
+#define KEEPALIVE_S    5              /* a kept connection whose peer is gone is noticed after it */
+#define BODY_BYTES_MAX ((size_t)64 * 1024 * 1024)
+#define READ_BYTES     16384
+#define IDLE_MAX       4 /* connections that wait for a further call */
 
-#define CONNECT_TIMEOUT_MS 1000L
-#define KEEPALIVE_S        5L
-#define BODY_BYTES_MAX     ((size_t)64 * 1024 * 1024)
+/**
+ * struct Connection - one TCP connection
+ * @call: (nullable): the call that uses it
+ * @used: it has carried a call before
+ */
+typedef struct Connection
+{
+  LIST_ENTRY (Connection) link;
+  KqHttpClient *client;
+  KqAddress address;
+  int fd;
+  struct tevent_fd *event;
+  KqHttpCall *call;
+  bool used;
+} Connection;
 
 struct KqHttpClient
 {
   struct tevent_context *ev;
-  CURLM *multi;
-  void *calls;
-  struct tevent_timer *timer;
-  struct tevent_timer *reaper;
+  KqTimer *timer;
+  void *call_parent;
+  LIST_HEAD (, KqHttpCall) calls;
+  LIST_HEAD (, Connection) idle;
+  unsigned idle_count;
 };
 
 /**
  * struct KqHttpCall - one call in progress
- * @client: (borrowed): the client
- * @easy: libcurl's handle
- * @headers: libcurl's header list
- * @body: what was received
- * @size: bytes of @body
- * @chunk: see KqHttpParams
- * @done: see KqHttpParams
- * @data: see KqHttpParams
+ * @client: (borrowed) (nullable): NULL once it has ended
+ * @connection: (nullable): in use
+ * @request: head and body
+ * @size: bytes of @request
+ * @written: how many were sent
+ * @connected: the peer has accepted
+ * @received: something of the answer came
+ * @again: it may be sent a second time
+ * @fresh: see KqHttpParams
+ * @due_at: when it is given up
+ * @failure: (nullable): why it is given up at @due_at
  */
 struct KqHttpCall
 {
+  LIST_ENTRY (KqHttpCall) link;
   KqHttpClient *client;
-  CURL *easy;
-  struct curl_slist *headers;
-  char *body;
+  Connection *connection;
+  KqAddress address;
+  char *request;
   size_t size;
+  size_t written;
+  bool connected;
+  bool received;
+  bool again;
+  bool fresh;
+  bool complete;
+  bool kept;
+  KqTime end_at;
+  KqTime due_at;
+  const char *failure;
+  http_parser parser;
+  char *body;
+  size_t body_size;
   bool (*chunk) (const char *bytes, size_t size, void *data);
   void (*done) (const KqHttpResult *result, void *data);
   void *data;
 };
 
+static void on_event (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
+                      void *data);
+
+static void
+set_timer (KqHttpClient *client)
+{
+  KqTime next = KQ_NEVER;
+  KqHttpCall *call;
+  LIST_FOREACH (call, &client->calls, link)
+  {
+    if (call->due_at < next)
+      next = call->due_at;
+  }
+  kq_timer_set (client->timer, next);
+}
+
+static int
+close_connection (Connection *connection)
+{
+  TALLOC_FREE (connection->event);
+  close (connection->fd);
+  return 0;
+}
+
+static void
+drop_idle (Connection *connection)
+{
+  LIST_REMOVE (connection, link);
+  connection->client->idle_count--;
+  talloc_free (connection);
+}
+
+static Connection *
+take_idle (KqHttpClient *client, const KqAddress *address)
+{
+  Connection *connection;
+  LIST_FOREACH (connection, &client->idle, link)
+  {
+    if (!kq_address_equal (&connection->address, address))
+      continue;
+    LIST_REMOVE (connection, link);
+    client->idle_count--;
+    return connection;
+  }
+  return NULL;
+}
+
 static void
-finish (KqHttpCall *call, CURLcode code)
+set_options (int fd)
 {
-  long status = 0;
-  long sent = 0;
-  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent);
-  KqHttpResult result = { .answered = code == CURLE_OK,
-                          .sent = sent > 0,
-                          .status = (unsigned)status,
+  int on = 1;
+  int seconds = KEEPALIVE_S;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+}
+
+/* Return: (owned by @client) a connection that is being made, or NULL with errno set */
+static Connection *
+connect_to (KqHttpClient *client, const KqAddress *address)
+{
+  KqSocketAddress peer;
+  socklen_t length = kq_socket_address (address, &peer);
+  int fd = socket (peer.any.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  set_options (fd);
+  if (connect (fd, &peer.any, length) < 0 && errno != EINPROGRESS)
+    {
+      close (fd);
+      return NULL;
+    }
+  Connection *connection = talloc_zero (client, Connection);
+  connection->client = client;
+  connection->address = *address;
+  connection->fd = fd;
+  connection->event = tevent_add_fd (client->ev, connection, fd, 0, on_event, connection);
+  talloc_set_destructor (connection, close_connection);
+  return connection;
+}
+
+/* The call ends with the next turn of the loop; @why is NULL for a whole answer. */
+static void
+end_soon (KqHttpCall *call, const char *why)
+{
+  call->failure = why;
+  call->due_at = 0;
+}
+
+static void
+begin (KqHttpCall *call)
+{
+  KqTime now = kq_clock_now ();
+  call->written = 0;
+  call->received = false;
+  http_parser_init (&call->parser, HTTP_RESPONSE);
+  call->parser.data = call;
+  call->connection = call->fresh ? NULL : take_idle (call->client, &call->address);
+  if (call->connection == NULL)
+    call->connection = connect_to (call->client, &call->address);
+  if (call->connection == NULL)
+    {
+      /* Not now, since its caller does not have the call yet. */
+      end_soon (call, strerror (errno));
+      set_timer (call->client);
+      return;
+    }
+  call->connected = call->connection->used;
+  call->failure = "Timeout was reached";
+  call->due_at = call->end_at;
+  if (!call->connected && now + CONNECT_US < call->due_at)
+    call->due_at = now + CONNECT_US;
+  call->connection->call = call;
+  tevent_fd_set_flags (call->connection->event, TEVENT_FD_WRITE);
+  set_timer (call->client);
+}
+
+static void
+release_connection (KqHttpCall *call, bool keep)
+{
+  Connection *connection = call->connection;
+  KqHttpClient *client = call->client;
+  call->connection = NULL;
+  if (connection == NULL)
+    return;
+  connection->call = NULL;
+  if (!keep || client->idle_count >= IDLE_MAX)
+    {
+      talloc_free (connection);
+      return;
+    }
+  connection->used = true;
+  tevent_fd_set_flags (connection->event, TEVENT_FD_READ);
+  LIST_INSERT_HEAD (&client->idle, connection, link);
+  client->idle_count++;
+}
+
+static void
+finish (KqHttpCall *call, const char *failure)
+{
+  KqHttpClient *client = call->client;
+  KqHttpResult result = { .answered = failure == NULL,
+                          .sent = call->written > 0,
+                          .status = call->parser.status_code,
                           .body = call->body == NULL ? "" : call->body,
-                          .size = call->size,
-                          .failure = curl_easy_strerror (code) };
-  talloc_steal (NULL, call);
-  curl_multi_remove_handle (call->client->multi, call->easy);
+                          .size = call->body_size,
+                          .failure = failure == NULL ? "" : failure };
+  release_connection (call, failure == NULL && call->kept && !call->fresh);
+  LIST_REMOVE (call, link);
+  set_timer (client);
   call->client = NULL;
+  talloc_steal (NULL, call);
   call->done (&result, call->data);
   talloc_free (call);
 }
 
-static void schedule_reaper (KqHttpClient *client);
-
-/* Ends one call an event, because its callback may free the client. */
+/* A kept connection can turn out to be dead; nothing of the answer came, so a call that may be sent
+ * again is sent on a new one. */
 static void
-on_reaper (struct tevent_context *ev, struct tevent_timer *timer, struct timeval now, void *data)
+end_broken (KqHttpCall *call, const char *why)
 {
-  KqHttpClient *client = data;
-  char *private = NULL;
-  int left;
-  (void)ev;
-  (void)timer;
-  (void)now;
-  client->reaper = NULL;
-  CURLMsg *message = curl_multi_info_read (client->multi, &left);
-  if (message == NULL)
-    return;
-  schedule_reaper (client);
-  CURLcode code = message->data.result;
-  curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &private);
-  finish ((KqHttpCall *)private, code);
+  if (!call->again || !call->connection->used || call->received)
+    {
+      finish (call, why);
+      return;
+    }
+  call->again = false;
+  call->fresh = true;
+  release_connection (call, false);
+  begin (call);
 }
 
 static void
-schedule_reaper (KqHttpClient *client)
+send_request (KqHttpCall *call)
 {
-  if (client->reaper == NULL)
-    client->reaper =
-        tevent_add_timer (client->ev, client, tevent_timeval_zero (), on_reaper, client);
+  Connection *connection = call->connection;
+  int code = 0;
+  socklen_t length = sizeof code;
+  if (!call->connected)
+    {
+      getsockopt (connection->fd, SOL_SOCKET, SO_ERROR, &code, &length);
+      if (code != 0)
+        {
+          finish (call, strerror (code));
+          return;
+        }
+      call->connected = true;
+      call->due_at = call->end_at;
+      set_timer (call->client);
+    }
+  ssize_t sent = send (connection->fd, call->request + call->written, call->size - call->written,
+                       MSG_NOSIGNAL);
+  if (sent < 0 && errno != EAGAIN)
+    {
+      end_broken (call, strerror (errno));
+      return;
+    }
+  call->written += sent > 0 ? (size_t)sent : 0;
+  bool all = call->written == call->size;
+  tevent_fd_set_flags (connection->event, all ? TEVENT_FD_READ : TEVENT_FD_READ | TEVENT_FD_WRITE);
 }
 
-static void
-on_timer (struct tevent_context *ev, struct tevent_timer *timer, struct timeval now, void *data)
+static int
+on_body (http_parser *parser, const char *bytes, size_t size)
 {
-  KqHttpClient *client = data;
-  int running;
-  (void)ev;
-  (void)timer;
-  (void)now;
-  client->timer = NULL;
-  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-  schedule_reaper (client);
+  KqHttpCall *call = parser->data;
+  if (call->chunk != NULL)
+    return call->chunk (bytes, size, call->data) ? 0 : -1;
+  if (call->body_size + size > BODY_BYTES_MAX)
+    return -1;
+  call->body = talloc_realloc (call, call->body, char, call->body_size + size + 1);
+  memcpy (call->body + call->body_size, bytes, size);
+  call->body_size += size;
+  call->body[call->body_size] = '\0';
+  return 0;
 }
 
 static int
-set_timer (CURLM *multi, long ms, void *data)
+on_complete (http_parser *parser)
 {
-  KqHttpClient *client = data;
-  (void)multi;
-  TALLOC_FREE (client->timer);
-  if (ms < 0)
-    return 0;
-  struct timeval when =
-      tevent_timeval_current_ofs ((uint32_t)(ms / 1000), (uint32_t)(ms % 1000 * 1000));
-  client->timer = tevent_add_timer (client->ev, client, when, on_timer, client);
+  KqHttpCall *call = parser->data;
+  call->complete = true;
+  call->kept = http_should_keep_alive (parser) != 0;
+  http_parser_pause (parser, 1);
   return 0;
 }
 
-/**
- * struct Socket - one socket of libcurl's that the loop watches
- */
-typedef struct
+static void
+receive_answer (KqHttpCall *call)
 {
-  KqHttpClient *client;
-  struct tevent_fd *event;
-  curl_socket_t fd;
-} Socket;
+  static const http_parser_settings settings = { .on_body = on_body,
+                                                 .on_message_complete = on_complete };
+  char bytes[READ_BYTES];
+  ssize_t size = recv (call->connection->fd, bytes, sizeof bytes, 0);
+  if (size < 0 && errno == EAGAIN)
+    return;
+  if (size < 0)
+    {
+      end_broken (call, strerror (errno));
+      return;
+    }
+  call->received = call->received || size > 0;
+  http_parser_execute (&call->parser, &settings, bytes, (size_t)size);
+  enum http_errno code = HTTP_PARSER_ERRNO (&call->parser);
+  if (call->complete && call->chunk != NULL)
+    {
+      /* The user of a stream takes what it has collected before the end is told. */
+      tevent_fd_set_flags (call->connection->event, 0);
+      end_soon (call, NULL);
+      set_timer (call->client);
+    }
+  else if (call->complete)
+    finish (call, NULL);
+  else if (code != HPE_OK)
+    finish (call, http_errno_description (code));
+  else if (size == 0)
+    end_broken (call, "the peer closed the connection");
+}
 
 static void
-on_socket (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
+on_event (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
 {
-  Socket *socket = data;
-  KqHttpClient *client = socket->client;
-  int running;
-  int mask = 0;
+  Connection *connection = data;
   (void)ev;
   (void)event;
-  if (flags & TEVENT_FD_READ)
-    mask |= CURL_CSELECT_IN;
-  if (flags & TEVENT_FD_WRITE)
-    mask |= CURL_CSELECT_OUT;
-  /* libcurl may free @socket in this call. */
-  curl_multi_socket_action (client->multi, socket->fd, mask, &running);
-  schedule_reaper (client);
+  if (connection->call == NULL)
+    drop_idle (connection);
+  else if ((flags & TEVENT_FD_WRITE) != 0)
+    send_request (connection->call);
+  else
+    receive_answer (connection->call);
 }
 
-static int
-watch_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *slot)
+/* Ends one call a turn, because its callback may free the client. */
+static void
+on_timer (void *data)
 {
   KqHttpClient *client = data;
-  Socket *socket = slot;
-  uint16_t flags = 0;
-  (void)easy;
-  if (what == CURL_POLL_REMOVE)
-    {
-      talloc_free (socket);
-      return 0;
-    }
-  if (what & CURL_POLL_IN)
-    flags |= TEVENT_FD_READ;
-  if (what & CURL_POLL_OUT)
-    flags |= TEVENT_FD_WRITE;
-  if (socket != NULL)
-    {
-      tevent_fd_set_flags (socket->event, flags);
-      return 0;
-    }
-  socket = talloc_zero (client, Socket);
-  socket->client = client;
-  socket->fd = fd;
-  socket->event = tevent_add_fd (client->ev, socket, fd, flags, on_socket, socket);
-  curl_multi_assign (client->multi, fd, socket);
-  return 0;
+  KqTime now = kq_clock_now ();
+  KqHttpCall *call;
+  LIST_FOREACH (call, &client->calls, link)
+  {
+    if (call->due_at <= now)
+      break;
+  }
+  if (call == NULL)
+    set_timer (client);
+  else
+    finish (call, call->failure);
 }
 
 static int
 destroy_client (KqHttpClient *client)
 {
-  TALLOC_FREE (client->calls);
-  curl_multi_cleanup (client->multi);
+  TALLOC_FREE (client->call_parent);
+  while (!LIST_EMPTY (&client->idle))
+    drop_idle (LIST_FIRST (&client->idle));
   return 0;
 }
 
@@ -186,98 +391,64 @@
 kq_http_client_new (const void *parent, struct tevent_context *ev, KqError *error)
 {
   KqHttpClient *client = talloc_zero (parent, KqHttpClient);
-  curl_global_init (CURL_GLOBAL_DEFAULT);
   client->ev = ev;
-  client->calls = talloc_new (client);
-  client->multi = curl_multi_init ();
-  if (client->multi == NULL)
+  client->call_parent = talloc_new (client);
+  client->timer = kq_timer_new (client, ev, on_timer, client, error);
+  if (client->timer == NULL)
     {
-      kq_error_set (error, KQ_ERROR_SYSTEM, "cannot start libcurl; free some memory");
       talloc_free (client);
       return NULL;
     }
-  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
-  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
-  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
-  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
   talloc_set_destructor (client, destroy_client);
   return client;
 }
 
-static size_t
-take_body (char *bytes, size_t item, size_t count, void *data)
-{
-  KqHttpCall *call = data;
-  size_t size = item * count;
-  if (call->chunk != NULL)
-    return call->chunk (bytes, size, call->data) ? size : 0;
-  if (call->size + size > BODY_BYTES_MAX)
-    return 0;
-  call->body = talloc_realloc (call, call->body, char, call->size + size + 1);
-  memcpy (call->body + call->size, bytes, size);
-  call->size += size;
-  call->body[call->size] = '\0';
-  return size;
-}
-
 static int
 destroy_call (KqHttpCall *call)
 {
-  if (call->client != NULL)
-    curl_multi_remove_handle (call->client->multi, call->easy);
-  curl_easy_cleanup (call->easy);
-  curl_slist_free_all (call->headers);
+  if (call->client == NULL)
+    return 0;
+  release_connection (call, false);
+  LIST_REMOVE (call, link);
+  set_timer (call->client);
   return 0;
 }
 
 static void
-set_options (KqHttpCall *call, const KqHttpParams *params)
+write_request (KqHttpCall *call, const KqHttpParams *params)
 {
   char address[KQ_ADDRESS_TEXT_BYTES];
-  CURL *easy = call->easy;
-  char *url = talloc_asprintf (call, "http://%s%s", kq_address_format (&params->address, address),
-                               params->path);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
-  curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
-  curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)(params->timeout_us / KQ_MS));
-  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, params->fresh ? 1L : 0L);
-  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, params->fresh ? 1L : 0L);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, params->method);
-  if (params->body != NULL)
-    {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)strlen (params->body));
-      curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, params->body);
-      call->headers = curl_slist_append (call->headers, "Content-Type: application/json");
-    }
+  size_t size = params->body == NULL ? 0 : strlen (params->body);
+  char *text = talloc_asprintf (call, "%s %s HTTP/1.1\r\nHost: %s\r\nAccept: */*\r\n",
+                                params->method, params->path,
+                                kq_address_format (&params->address, address));
   if (params->bearer != NULL)
-    {
-      char *header = talloc_asprintf (call, "Authorization: Bearer %s", params->bearer);
-      call->headers = curl_slist_append (call->headers, header);
-    }
-  /* Without this, libcurl waits for "100 Continue" before it sends a large body. */
-  call->headers = curl_slist_append (call->headers, "Expect:");
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+    text = talloc_asprintf_append (text, "Authorization: Bearer %s\r\n", params->bearer);
+  if (params->fresh)
+    text = talloc_strdup_append (text, "Connection: close\r\n");
+  if (params->body != NULL)
+    text = talloc_asprintf_append (
+        text, "Content-Type: application/json\r\nContent-Length: %zu\r\n", size);
+  text = talloc_asprintf_append (text, "\r\n%s", params->body == NULL ? "" : params->body);
+  call->request = text;
+  call->size = strlen (text);
 }
 
 KqHttpCall *
 kq_http_call (KqHttpClient *client, const KqHttpParams *params)
 {
-  KqHttpCall *call = talloc_zero (client->calls, KqHttpCall);
+  KqHttpCall *call = talloc_zero (client->call_parent, KqHttpCall);
   call->client = client;
+  call->address = params->address;
+  call->fresh = params->fresh;
+  call->again = strcmp (params->method, "GET") == 0;
   call->chunk = params->chunk;
   call->done = params->done;
   call->data = params->data;
-  call->easy = curl_easy_init ();
-  set_options (call, params);
+  call->end_at = params->timeout_us > 0 ? kq_clock_now () + params->timeout_us : KQ_NEVER;
+  write_request (call, params);
+  LIST_INSERT_HEAD (&client->calls, call, link);
   talloc_set_destructor (call, destroy_call);
-  curl_multi_add_handle (client->multi, call->easy);
+  begin (call);
   return call;
 }
--- a/tests/unit/test_stream_holder.c
+++ b/tests/unit/test_stream_holder.c
@@ -398,6 +398,21 @@
   talloc_free (fixture);
 }
 
+/* Regression: soak seed 3, planned: callers of streams that had ended were searched and reset. */
+static void
+test_ended_streams_need_no_word (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  target_sends (fixture, 1, KQ_SEGMENT_FIN | KQ_SEGMENT_ACK, FIRST + 1, 0, 0, 2 * KQ_MS);
+  unsigned before = fixture->answers;
+  report (fixture, 20, 1, KQ_TARGET_READY, 0, KQ_SECOND);
+  CU_ASSERT_EQUAL (fixture->answers, before);
+  CU_ASSERT_EQUAL (kq_stream_holder_stats (fixture->holder).streams, 0);
+  talloc_free (fixture);
+}
+
 /* Two targets accepted one opening, and the caller answers the other one. */
 static void
 test_answer_to_another_target (void)
@@ -464,6 +479,7 @@
     { "a silent target", test_silent_target },
     { "a target that is gone", test_target_is_gone },
     { "a reborn target holds nothing", test_reborn_target_holds_nothing },
+    { "ended streams need no word", test_ended_streams_need_no_word },
     { "an answer to another target", test_answer_to_another_target },
     { "a restarted agent asks its target", test_restarted_agent_asks_its_target },
     { "a complete agent tells at once", test_complete_agent_tells_at_once },
