--- a/Makefile
+++ b/Makefile
@@ -153,6 +153,22 @@
 
 .PHONY: demo proof proof-off proof-page bench
 
+# Faults drawn from a seed over the platform's programs; SEEDS=1-50 plays a series.
+SECONDS ?= 20
+SEEDS ?= $(SEED)
+SOAK = tests/integration/soak.py --seeds $(SEEDS) --seconds $(SECONDS)
+
+soak: all
+	KQ_BIN=$(CURDIR)/$(B)/bin $(SOAK)
+	KQ_BIN=$(CURDIR)/$(B)/bin $(SOAK) --planned
+
+# With a mechanism switched off, the soak must find a broken promise.
+soak-off:
+	$(MAKE) B=$(SWITCHES_BUILD) EXTRA_CFLAGS=-DKQ_TEST_SWITCHES all
+	! KQ_TEST_DISABLE=stream-drain KQ_BIN=$(CURDIR)/$(SWITCHES_BUILD)/bin $(SOAK) --planned
+
+.PHONY: soak soak-off
+
 # Prints every table of measured decisions, with baselines and targets.
 bench-decisions: benches
 	@set -e; for bench in $(B)/bench/decisions_*; do \
--- a/include/kumquat/internal/stream_holder.h
+++ b/include/kumquat/internal/stream_holder.h
@@ -13,6 +13,7 @@
  * @deliver: gives a segment to the target, with this tag; 0 for none
  * @to_caller: sends a segment of the target's to the caller of @key
  * @event: something to log, as key=value pairs
+ * @answered: (nullable): the target's answer to a request began, so long after it
  */
 typedef struct
 {
@@ -20,6 +21,7 @@
   void (*deliver) (const uint8_t *bytes, size_t size, uint32_t tag, void *data);
   void (*to_caller) (const KqStreamKey *key, const uint8_t *bytes, size_t size, void *data);
   void (*event) (int level, const char *name, const char *details, void *data);
+  void (*answered) (KqTime took_us, void *data);
 } KqStreamHolderOps;
 
 /**
--- a/include/kumquat/internal/stream_metrics.h
+++ b/include/kumquat/internal/stream_metrics.h
@@ -6,6 +6,7 @@
 #include "kumquat/internal/stream_holder.h"
 #include "kumquat/internal/stream_router.h"
 #include "kumquat/metrics.h"
+#include "kumquat/settings.h"
 
 /** kq_stream_metrics_router - sets a balancer's series; @routes is NULL before the first ones */
 void kq_stream_metrics_router (KqMetrics *metrics, const KqStreamRouterStats *stats,
@@ -17,6 +18,20 @@
                                const KqTargetLoad *load, const KqTargetLife *life,
                                uint64_t malformed);
 
+/** kq_stream_metrics_open_times - Return: (owned by @metrics) a balancer's histogram of the time
+ * from a stream's first segment until a target took it */
+KqMetric *kq_stream_metrics_open_times (KqMetrics *metrics);
+
+/** kq_stream_metrics_request_times - Return: (owned by @metrics) an agent's histogram of the time
+ * from a request until its answer began */
+KqMetric *kq_stream_metrics_request_times (KqMetrics *metrics);
+
+/** kq_stream_metrics_listen - serves @handler on the further address that @settings name, if any;
+ * Return: 0, or -1 with @error set */
+int kq_stream_metrics_listen (const void *parent, struct tevent_context *ev,
+                              const KqSettings *settings, KqHttpHandler handler, void *data,
+                              KqError *error);
+
 /** kq_stream_metrics_respond - answers with all series and those of the control plane */
 void kq_stream_metrics_respond (KqHttpRequest *request, KqMetrics *metrics,
                                 const KqControl *control);
--- a/include/kumquat/internal/stream_router.h
+++ b/include/kumquat/internal/stream_router.h
@@ -12,12 +12,14 @@
  * @send: sends a frame to an agent
  * @reset: tells the caller of @key that the stream is refused or gone; @sequence lies in its window
  * @event: something to log about one stream, as key=value pairs
+ * @opened: (nullable): a stream was opened, so long after its first segment
  */
 typedef struct
 {
   void (*send) (const KqAddress *to, const KqStreamFrame *frame, void *data);
   void (*reset) (const KqStreamKey *key, uint32_t sequence, void *data);
   void (*event) (int level, const char *name, const char *details, void *data);
+  void (*opened) (KqTime took_us, void *data);
 } KqStreamRouterOps;
 
 /**
--- a/include/kumquat/log.h
+++ b/include/kumquat/log.h
@@ -1,4 +1,5 @@
-/* One line of key=value pairs on standard error for each event, with syslog levels. */
+/* One line of key=value pairs on standard output for each event, with syslog levels. Writing never
+ * blocks. */
 #pragma once
 
 #include <syslog.h>
--- a/src/connection/holder_target.c
+++ b/src/connection/holder_target.c
@@ -74,6 +74,8 @@
   if (!held->asked)
     return;
   holder->stats.requests++;
+  if (holder->ops.answered != NULL)
+    holder->ops.answered (now - held->counted_at, holder->data);
   kq_held_uncount (holder, held, now - held->counted_at);
 }
 
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -3,6 +3,7 @@
 #include <syslog.h>
 
 #include "kumquat/internal/holder_state.h"
+#include "kumquat/internal/test_switch.h"
 
 /* A target accepts within a millisecond; one that does not is taken for silent. */
 #define ACCEPT_US      (70 * KQ_MS)
@@ -95,7 +96,10 @@
 bool
 kq_stream_holder_takes_new (const KqStreamHolder *holder)
 {
-  return !holder->leaving && holder->life.report.state == KQ_TARGET_READY;
+  KqTargetState state = holder->life.report.state;
+  bool ready = state == KQ_TARGET_READY ||
+               (state == KQ_TARGET_DRAINING && kq_test_switched_off ("stream-drain"));
+  return ready && !holder->leaving;
 }
 
 void
@@ -114,7 +118,7 @@
     return KQ_REFUSAL_STARTING;
   if (state == KQ_TARGET_GONE || now < holder->silent_until)
     return KQ_REFUSAL_NO_TARGET;
-  if (state == KQ_TARGET_DRAINING || holder->leaving)
+  if ((state == KQ_TARGET_DRAINING && !kq_test_switched_off ("stream-drain")) || holder->leaving)
     return KQ_REFUSAL_DRAINING;
   return KQ_REFUSAL_NONE;
 }
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -200,6 +200,8 @@
   if (stream->state == KQ_STREAM_OPENING)
     {
       router->stats.opened++;
+      if (router->ops.opened != NULL)
+        router->ops.opened (now - stream->first_at, router->data);
       kq_stream_drop_held (stream);
       kq_stream_log (router, LOG_DEBUG, "stream-opened", stream, "agent=%016llx offers=%u us=%lld",
                      (unsigned long long)target->peer.id, stream->offers,
--- a/src/process/http_client.c
+++ b/src/process/http_client.c
@@ -200,7 +200,8 @@
   if (!call->connected && now + CONNECT_US < call->due_at)
     call->due_at = now + CONNECT_US;
   call->connection->call = call;
-  tevent_fd_set_flags (call->connection->event, TEVENT_FD_WRITE);
+  /* tevent tells a refused connection only to those that want to read. */
+  tevent_fd_set_flags (call->connection->event, TEVENT_FD_READ | TEVENT_FD_WRITE);
   set_timer (call->client);
 }
 
@@ -354,7 +355,7 @@
   (void)event;
   if (connection->call == NULL)
     drop_idle (connection);
-  else if ((flags & TEVENT_FD_WRITE) != 0)
+  else if (!connection->call->connected || (flags & TEVENT_FD_WRITE) != 0)
     send_request (connection->call);
   else
     receive_answer (connection->call);
@@ -419,9 +420,9 @@
 {
   char address[KQ_ADDRESS_TEXT_BYTES];
   size_t size = params->body == NULL ? 0 : strlen (params->body);
-  char *text = talloc_asprintf (call, "%s %s HTTP/1.1\r\nHost: %s\r\nAccept: */*\r\n",
-                                params->method, params->path,
-                                kq_address_format (&params->address, address));
+  char *text =
+      talloc_asprintf (call, "%s %s HTTP/1.1\r\nHost: %s\r\nAccept: */*\r\n", params->method,
+                       params->path, kq_address_format (&params->address, address));
   if (params->bearer != NULL)
     text = talloc_asprintf_append (text, "Authorization: Bearer %s\r\n", params->bearer);
   if (params->fresh)
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -1,8 +1,11 @@
+#include <fcntl.h>
 #include <pthread.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -33,6 +36,7 @@
 static char program_name[NAME_BYTES] = "kumquat";
 static char instance_name[NAME_BYTES] = "-";
 static _Atomic int least_severe = LOG_INFO;
+static _Atomic unsigned lost_lines;
 
 static const char *const level_names[] = {
   [LOG_EMERG] = "emergency", [LOG_ALERT] = "alert",     [LOG_CRIT] = "critical",
@@ -46,6 +50,11 @@
   snprintf (program_name, sizeof program_name, "%s", program);
   snprintf (instance_name, sizeof instance_name, "%s", instance);
   least_severe = level;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  struct stat status;
+  /* Only a pipe has a reader that can fall behind; a file or a terminal is left as it is. */
+  if (flags >= 0 && fstat (STDOUT_FILENO, &status) == 0 && S_ISFIFO (status.st_mode))
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
 void
@@ -82,9 +91,21 @@
   if (size > (int)sizeof line - 2)
     size = (int)sizeof line - 2;
   line[size] = '\n';
-  /* One call a line, so that lines of several threads and processes do not mix. */
-  ssize_t written = write (STDERR_FILENO, line, (size_t)size + 1);
-  (void)written;
+  /* One call a line, so that lines of several threads and processes do not mix. A reader that has
+   * fallen behind costs lines, not time; the next line that fits says how many. */
+  if (write (STDOUT_FILENO, line, (size_t)size + 1) < 0)
+    lost_lines++;
+}
+
+static void
+write_lost (void)
+{
+  char pairs[64];
+  unsigned lost = atomic_exchange (&lost_lines, 0);
+  if (lost == 0)
+    return;
+  snprintf (pairs, sizeof pairs, "count=%u reason=\"the reader of the log is slow\"", lost);
+  write_line (LOG_WARNING, "log-lines-lost", pairs);
 }
 
 static time_t
@@ -159,6 +180,7 @@
 void
 kq_log_flush (void)
 {
+  write_lost ();
   pthread_mutex_lock (&window_lock);
   end_old_windows (monotonic_second ());
   pthread_mutex_unlock (&window_lock);
--- a/src/process/stream_agent.c
+++ b/src/process/stream_agent.c
@@ -39,6 +39,8 @@
     "address that the target reports to" },
   { "http.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL,
     "address of the readiness check and of /metrics" },
+  { "http.metrics_address", KQ_SETTING_ADDRESS_LIST, false, 0, 1, "",
+    "further address of /metrics, where collectors expect a port that is always the same" },
   { "shutdown.drain_ms", KQ_SETTING_INTEGER, false, 0, 600000, "1500",
     "milliseconds that a process which is told to stop waits for running requests" },
 };
@@ -59,6 +61,7 @@
   KqHttpServer *reports;
   KqHttpServer *http;
   KqMetrics *metrics;
+  KqMetric *request_times;
   KqStreamSocket data;
   KqStreamSocket target;
   KqStreamSocket segments;
@@ -194,6 +197,13 @@
   kq_stream_socket_send (&agent->data, &to, bytes, size);
 }
 
+static void
+request_answered (KqTime took_us, void *data)
+{
+  StreamAgent *agent = data;
+  kq_metric_observe (agent->request_times, took_us);
+}
+
 static KqTime
 age_of (const KqTargetReport *report)
 {
@@ -316,7 +326,9 @@
   if (agent->reports == NULL)
     return -1;
   agent->http = kq_http_server_new (agent, agent->ev, &http, answer_http, agent, error);
-  return agent->http == NULL ? -1 : 0;
+  if (agent->http == NULL)
+    return -1;
+  return kq_stream_metrics_listen (agent, agent->ev, agent->settings, answer_http, agent, error);
 }
 
 static int
@@ -383,7 +395,8 @@
   static const KqStreamHolderOps ops = { .answer = answer_balancer,
                                          .deliver = deliver,
                                          .to_caller = send_to_caller,
-                                         .event = kq_stream_log_event };
+                                         .event = kq_stream_log_event,
+                                         .answered = request_answered };
   KqStreamHolderParams params = { .agent =
                                       kq_hash_name (kq_settings_text (agent->settings, "name")),
                                   .service = agent->service };
@@ -393,6 +406,7 @@
   agent->stop_timer = kq_timer_new (agent, agent->ev, on_stop, agent, error);
   if (agent->holder == NULL || agent->metrics == NULL)
     return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for streams; raise the limit");
+  agent->request_times = kq_stream_metrics_request_times (agent->metrics);
   agent->summary_timer = kq_timer_new (agent, agent->ev, on_summary, agent, error);
   if (agent->timer == NULL || agent->stop_timer == NULL || agent->summary_timer == NULL)
     return -1;
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -43,6 +43,8 @@
     "milliseconds that one call to the store may take, the wait of a watch not counted" },
   { "http.address", KQ_SETTING_ADDRESS, true, 0, 0, NULL,
     "address of the readiness check and of /metrics" },
+  { "http.metrics_address", KQ_SETTING_ADDRESS_LIST, false, 0, 1, "",
+    "further address of /metrics, where collectors expect a port that is always the same" },
   { "shutdown.forward_ms", KQ_SETTING_INTEGER, false, 0, 600000, "4500",
     "milliseconds that a process which is told to stop goes on forwarding" },
 };
@@ -66,6 +68,7 @@
   KqStore *store;
   KqHttpServer *http;
   KqMetrics *metrics;
+  KqMetric *open_times;
   KqStreamSocket callers;
   KqStreamSocket data;
   KqAddress callers_address;
@@ -158,6 +161,13 @@
   kq_stream_socket_send (&balancer->callers, &to, bytes, size);
 }
 
+static void
+stream_opened (KqTime took_us, void *data)
+{
+  StreamBalancer *balancer = data;
+  kq_metric_observe (balancer->open_times, took_us);
+}
+
 /* Return: whether the configuration was newer than the one in use. */
 static bool
 use_routes (StreamBalancer *balancer, const uint8_t *bytes, size_t size, const char *source)
@@ -295,7 +305,8 @@
 {
   if (balancer->stopping || kq_stream_router_routes (balancer->router) == NULL)
     return false;
-  return serving_targets (balancer) > 0 || kq_clock_now () - balancer->started_at >= READY_LATEST_US;
+  return serving_targets (balancer) > 0 ||
+         kq_clock_now () - balancer->started_at >= READY_LATEST_US;
 }
 
 static void
@@ -398,7 +409,9 @@
                              NULL, error) < 0)
     return -1;
   balancer->http = kq_http_server_new (balancer, balancer->ev, &http, answer_http, balancer, error);
-  return balancer->http == NULL ? -1 : 0;
+  if (balancer->http == NULL)
+    return -1;
+  return kq_stream_metrics_listen (balancer, balancer->ev, settings, answer_http, balancer, error);
 }
 
 static int
@@ -414,9 +427,9 @@
 static int
 start_router (StreamBalancer *balancer, KqError *error)
 {
-  static const KqStreamRouterOps ops = { .send = send_frame,
-                                         .reset = send_reset,
-                                         .event = kq_stream_log_event };
+  static const KqStreamRouterOps ops = {
+    .send = send_frame, .reset = send_reset, .event = kq_stream_log_event, .opened = stream_opened
+  };
   const char *domain = kq_settings_text (balancer->settings, "failure_domain");
   balancer->router = kq_stream_router_new (balancer, domain, &ops, balancer);
   balancer->metrics = kq_metrics_new (balancer);
@@ -424,6 +437,7 @@
   balancer->stop_timer = kq_timer_new (balancer, balancer->ev, on_stop, balancer, error);
   if (balancer->router == NULL || balancer->metrics == NULL)
     return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for streams; raise the limit");
+  balancer->open_times = kq_stream_metrics_open_times (balancer->metrics);
   balancer->summary_timer = kq_timer_new (balancer, balancer->ev, on_summary, balancer, error);
   if (balancer->timer == NULL || balancer->stop_timer == NULL || balancer->summary_timer == NULL)
     return -1;
--- a/src/process/stream_metrics.c
+++ b/src/process/stream_metrics.c
@@ -6,6 +6,28 @@
 #define HTTP_OK   200
 #define TEXT_TYPE "text/plain; version=0.0.4"
 
+/* Upper bounds of the histograms in microseconds; a value is known to within its step. */
+static const KqTime bounds[] = { 1000,   2000,   5000,   10000,   20000,   50000,
+                                 100000, 200000, 500000, 1000000, 2000000, 5000000 };
+
+#define BOUNDS (sizeof bounds / sizeof bounds[0])
+
+KqMetric *
+kq_stream_metrics_open_times (KqMetrics *metrics)
+{
+  return kq_metrics_histogram (metrics, "kumquat_stream_open_seconds",
+                               "Time from a stream's first segment until a target took it.", bounds,
+                               BOUNDS, NULL);
+}
+
+KqMetric *
+kq_stream_metrics_request_times (KqMetrics *metrics)
+{
+  return kq_metrics_histogram (metrics, "kumquat_target_answer_seconds",
+                               "Time from a request until the target's answer began.", bounds,
+                               BOUNDS, NULL);
+}
+
 static void
 set_counter (KqMetrics *metrics, const char *name, const char *help, uint64_t value)
 {
@@ -114,3 +136,13 @@
   talloc_free (spread);
   talloc_free (own);
 }
+
+int
+kq_stream_metrics_listen (const void *parent, struct tevent_context *ev, const KqSettings *settings,
+                          KqHttpHandler handler, void *data, KqError *error)
+{
+  KqAddress address;
+  if (kq_settings_address_list (settings, "http.metrics_address", &address, 1) == 0)
+    return 0;
+  return kq_http_server_new (parent, ev, &address, handler, data, error) == NULL ? -1 : 0;
+}
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -78,21 +78,6 @@
   return entry->arrived_at + wait;
 }
 
-bool
-kq_admission_worth_waiting (const KqAdmission *admission, const KqAdmissionEntry *entry, KqTime now)
-{
-  const KqAdmissionEntry *other;
-  KqTime ahead = 1;
-  if (admission->waiting_count >= WAITING_MAX)
-    return false;
-  TAILQ_FOREACH (other, &admission->waiting, link)
-  {
-    ahead += other->need.priority <= entry->need.priority;
-  }
-  KqTime wait = ahead * admission->service_us / admission->slots;
-  return now + wait <= useful_until (admission, entry);
-}
-
 void
 kq_admission_wait (KqAdmission *admission, KqAdmissionEntry *entry)
 {
@@ -128,6 +113,21 @@
   return a_in_time ? a->arrived_at < b->arrived_at : a->arrived_at > b->arrived_at;
 }
 
+bool
+kq_admission_worth_waiting (const KqAdmission *admission, const KqAdmissionEntry *entry, KqTime now)
+{
+  const KqAdmissionEntry *other;
+  KqTime ahead = 1;
+  if (admission->waiting_count >= WAITING_MAX)
+    return false;
+  TAILQ_FOREACH (other, &admission->waiting, link)
+  {
+    ahead += !goes_before (admission, entry, other, now);
+  }
+  KqTime wait = ahead * admission->service_us / admission->slots;
+  return now + wait <= useful_until (admission, entry);
+}
+
 KqAdmissionEntry *
 kq_admission_next (const KqAdmission *admission, KqTime now)
 {
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -199,7 +199,9 @@
 {
   KqAdmission admission;
   KqAdmissionEntry waiting[400];
-  KqAdmissionEntry fresh = { .need = { .priority = 2, .timeout_ms = TIMEOUT_MS } };
+  KqAdmissionEntry fresh = {
+    .need = { .priority = 2, .objective_ms = TIMEOUT_MS, .timeout_ms = TIMEOUT_MS }
+  };
   unsigned taken = 0;
   kq_admission_init (&admission);
   kq_admission_set_slots (&admission, SLOTS);
--- a/tests/unit/test_log_threads.c
+++ b/tests/unit/test_log_threads.c
@@ -17,10 +17,10 @@
 capture (void (*write_events) (void))
 {
   FILE *file = tmpfile ();
-  int saved = dup (STDERR_FILENO);
-  dup2 (fileno (file), STDERR_FILENO);
+  int saved = dup (STDOUT_FILENO);
+  dup2 (fileno (file), STDOUT_FILENO);
   write_events ();
-  dup2 (saved, STDERR_FILENO);
+  dup2 (saved, STDOUT_FILENO);
   close (saved);
   rewind (file);
   size_t size = fread (text, 1, sizeof text - 1, file);
--- a/tests/unit/test_stream_router.c
+++ b/tests/unit/test_stream_router.c
@@ -414,8 +414,8 @@
   talloc_free (fixture);
 }
 
-/* Regression: all agents were killed and started again, and callers were refused until their targets
- * had reported, although that takes less than an attempt. */
+/* Regression: all agents were killed and started again, and callers were refused until their
+ * targets had reported, although that takes less than an attempt. */
 static void
 test_waits_for_starting_agents (void)
 {
