Documents of up to 512 KiB are spread

Change: the limit; a test that failed before. Ruled out: compression, since the store's own answers carry the text as well.

--- a/include/kumquat/document.h
+++ b/include/kumquat/document.h
@@ -3,7 +3,7 @@
 
 #include "kumquat/types.h"
 
-#define KQ_DOCUMENT_BYTES 65536 /* largest configuration document of one service */
+#define KQ_DOCUMENT_BYTES 524288 /* largest configuration document: 2,700 routes of a platform */
 #define KQ_LAGGARDS_MAX   16
 
 /**
--- a/include/kumquat/internal/group.h
+++ b/include/kumquat/internal/group.h
@@ -8,7 +8,7 @@
 #include "kumquat/random.h"
 
 #define KQ_GROUP_SEEDS_MAX 8
-#define KQ_BULK_BYTES      131072 /* largest bulk message: one document of the largest size fits */
+#define KQ_BULK_BYTES      589824 /* largest bulk message: one document of the largest size fits */
 
 typedef struct KqGroup KqGroup;
 
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -16,10 +16,11 @@
 #include "kumquat/service_document.h"
 #include "unit.h"
 
-#define NODES_MAX 12
-#define PORT      7946
-#define LIMIT     (60 * KQ_SECOND) /* far above what a slow machine needs */
-#define BALANCERS 4
+#define NODES_MAX   12
+#define PORT        7946
+#define LIMIT       (60 * KQ_SECOND) /* far above what a slow machine needs */
+#define LARGE_BYTES 100000           /* about 500 routes */
+#define BALANCERS   4
 
 typedef struct
 {
@@ -241,6 +242,22 @@
   tear_down (&f);
 }
 
+/* Regression: the configuration of a platform with 415 routes more did not fit and was not spread.
+ */
+static void
+test_large_document_is_spread (void)
+{
+  Fixture f;
+  uint8_t *large = talloc_zero_size (NULL, LARGE_BYTES);
+  memset (large, 'x', LARGE_BYTES);
+  set_up (&f, 4);
+  CU_ASSERT (wait_until (&f, all_see_count, 4));
+  CU_ASSERT (publish (&f, 0, 10, large, LARGE_BYTES) == 1);
+  CU_ASSERT (wait_until (&f, in_force_at_all, 10));
+  talloc_free (large);
+  tear_down (&f);
+}
+
 static bool
 has_document (Fixture *f, unsigned index)
 {
@@ -383,6 +400,7 @@
     { "a restart has a higher incarnation", test_restart_has_higher_incarnation },
     { "a document is in force, an older one refused",
       test_document_is_in_force_and_older_is_refused },
+    { "a large document is spread", test_large_document_is_spread },
     { "a newcomer learns documents from peers", test_newcomer_learns_documents_from_peers },
     { "an agent finds its service by name", test_agent_finds_its_service_by_name },
     { "bad datagrams and messages are counted", test_bad_datagrams_and_messages_are_counted },
