A search waits for the first agent; what the two stream daemons share stands once

Change: looks for agents each 20 ms for up to 0.4 s; stream_process.c. Ruled out: readiness, which was not given yet; the fabric had sent all the same.

--- a/include/kumquat/internal/stream_process.h
+++ b/include/kumquat/internal/stream_process.h
@@ -3,9 +3,11 @@
 
 #include <tevent.h>
 
+#include "kumquat/control.h"
 #include "kumquat/internal/stream_adapter.h"
 #include "kumquat/internal/stream_frame.h"
 #include "kumquat/internal/timer.h"
+#include "kumquat/settings.h"
 
 #define KQ_STREAM_FRAME_BYTES 1536 /* a segment and the longest header of a frame */
 
@@ -47,5 +49,23 @@
 /** kq_ipv4_address - Return: an address of 32 bits in host byte order as KqAddress */
 KqAddress kq_ipv4_address (uint32_t ip, uint16_t port);
 
+/** kq_stream_control_new - starts the control plane that @settings describe; @service is 0 for a
+ * balancer. Return: see kq_control_new() */
+KqControl *kq_stream_control_new (const void *parent, struct tevent_context *ev,
+                                  const KqSettings *settings, KqRole role, uint32_t service,
+                                  const KqControlOps *ops, void *data, KqError *error);
+
+/** kq_stream_take_keys - gives a running control plane the keys of reloaded settings */
+void kq_stream_take_keys (KqControl *control, const KqSettings *settings);
+
+/** kq_stream_check - checks what needs more than one setting; see KqProgramOps */
+int kq_stream_check (const KqSettings *settings, const char *path, KqError *error);
+
+/** kq_stream_woke - logs that the process goes on under another incarnation; see KqControlOps */
+void kq_stream_woke (uint64_t incarnation, void *data);
+
+/** kq_stream_log_malformed - logs that bytes of @from were refused */
+void kq_stream_log_malformed (const KqAddress *from, const KqError *why);
+
 /** kq_stream_log_event - writes a decision's event to the log */
 void kq_stream_log_event (int level, const char *name, const char *details, void *data);
--- a/include/kumquat/internal/stream_state.h
+++ b/include/kumquat/internal/stream_state.h
@@ -63,6 +63,7 @@
  * @used_at: when its last segment came
  * @due_at: when waiting ends
  * @acknowledged: last acknowledgement of the caller, for a reset in its window
+ * @asked: agents that the last search asked
  * @unanswered: agents that were asked or probed and have not answered
  * @maybe: (array): agents that cannot tell whether they hold it
  * @maybe_count: length of @maybe
@@ -93,6 +94,7 @@
   KqTime used_at;
   KqTime due_at;
   uint32_t acknowledged;
+  unsigned asked;
   unsigned unanswered;
   uint64_t maybe[KQ_STREAM_TRIED_MAX];
   unsigned maybe_count;
--- a/src/connection/stream_search.c
+++ b/src/connection/stream_search.c
@@ -9,8 +9,11 @@
 #include "kumquat/internal/stream_state.h"
 
 #define ANSWERS_US (60 * KQ_MS)  /* answers come within a round trip between failure domains */
+#define RETRY_US   (20 * KQ_MS)  /* between looks for agents while none is known */
 #define PROBE_US   (120 * KQ_MS) /* a target answers or returns a segment within milliseconds */
-#define LOST_US    (300 * KQ_MS) /* pause before a stream without a holder is searched again */
+#define NOBODY_US                                                                                  \
+  (400 * KQ_MS)               /* a balancer that has just started learns of the agents within it */
+#define LOST_US (300 * KQ_MS) /* pause before a stream without a holder is searched again */
 
 static bool
 may_hold (const KqStreamRouter *router, const KqStream *stream, const KqStreamTarget *target)
@@ -59,10 +62,8 @@
       stream->unanswered++;
       kq_stream_send (router, stream, &targets[i], KQ_FRAME_FIND, NULL, 0);
     }
-  if (stream->unanswered > 0)
-    kq_stream_wait_until (router, stream, now + ANSWERS_US);
-  else
-    give_up (router, stream, now);
+  stream->asked = stream->unanswered;
+  kq_stream_wait_until (router, stream, now + (stream->asked > 0 ? ANSWERS_US : RETRY_US));
 }
 
 static void
@@ -136,5 +137,8 @@
 void
 kq_stream_search_late (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
-  conclude (router, stream, now);
+  if (stream->asked == 0 && now - stream->first_at < NOBODY_US)
+    kq_stream_search (router, stream, now);
+  else
+    conclude (router, stream, now);
 }
--- a/src/process/stream_agent.c
+++ b/src/process/stream_agent.c
@@ -110,11 +110,8 @@
 static void
 refuse_malformed (StreamAgent *agent, const KqAddress *from, const KqError *error)
 {
-  char address[KQ_ADDRESS_TEXT_BYTES];
-  char quoted[KQ_LOG_QUOTE_BYTES];
   agent->malformed++;
-  kq_log (LOG_WARNING, "segment-malformed", "from=%s error=%s", kq_address_format (from, address),
-          kq_log_quote (error->message, quoted));
+  kq_stream_log_malformed (from, error);
 }
 
 static void
@@ -294,26 +291,14 @@
   (void)data;
 }
 
-static void
-woke (uint64_t incarnation, void *data)
-{
-  (void)data;
-  kq_log (LOG_WARNING, "woke-after-pause", "incarnation=%llu", (unsigned long long)incarnation);
-}
-
 static int
 start_control (StreamAgent *agent, KqError *error)
 {
   static const KqControlOps ops = { .members_changed = members_changed,
                                     .document_changed = document_changed,
-                                    .woke = woke };
-  KqControlParams params = { 0 };
-  KqAddress data = kq_settings_address (agent->settings, "data.address");
-  kq_program_control_params (agent->settings, &params);
-  kq_program_fill_self (&params.self, KQ_ROLE_AGENT, kq_settings_text (agent->settings, "name"),
-                        kq_settings_text (agent->settings, "failure_domain"), &data);
-  params.self.service = agent->service;
-  agent->control = kq_control_new (agent, agent->ev, &params, &ops, agent, error);
+                                    .woke = kq_stream_woke };
+  agent->control = kq_stream_control_new (agent, agent->ev, agent->settings, KQ_ROLE_AGENT,
+                                          agent->service, &ops, agent, error);
   return agent->control == NULL ? -1 : 0;
 }
 
@@ -448,16 +433,8 @@
 reload (void *state, const KqSettings *settings)
 {
   StreamAgent *agent = state;
-  KqControlParams params = { 0 };
   agent->settings = settings;
-  kq_program_control_params (settings, &params);
-  kq_program_set_control_keys (agent->control, &params);
-}
-
-static int
-check (const KqSettings *settings, const char *path, KqError *error)
-{
-  return kq_program_check_control (settings, path, error);
+  kq_stream_take_keys (agent->control, settings);
 }
 
 int
@@ -468,7 +445,7 @@
     .summary = "runs beside a target of streams: decides what it takes and knows what it holds",
     .specs = specs,
     .spec_count = sizeof specs / sizeof specs[0],
-    .check = check,
+    .check = kq_stream_check,
     .start = start,
     .stop = stop,
     .reload = reload,
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -109,11 +109,8 @@
 static void
 refuse_malformed (StreamBalancer *balancer, const KqAddress *from, const KqError *error)
 {
-  char address[KQ_ADDRESS_TEXT_BYTES];
-  char quoted[KQ_LOG_QUOTE_BYTES];
   balancer->malformed++;
-  kq_log (LOG_WARNING, "segment-malformed", "from=%s error=%s", kq_address_format (from, address),
-          kq_log_quote (error->message, quoted));
+  kq_stream_log_malformed (from, error);
 }
 
 static void
@@ -282,13 +279,6 @@
   trust_routes (balancer);
 }
 
-static void
-woke (uint64_t incarnation, void *data)
-{
-  (void)data;
-  kq_log (LOG_WARNING, "woke-after-pause", "incarnation=%llu", (unsigned long long)incarnation);
-}
-
 static unsigned
 serving_targets (const StreamBalancer *balancer)
 {
@@ -382,14 +372,9 @@
 {
   static const KqControlOps ops = { .members_changed = members_changed,
                                     .document_changed = document_changed,
-                                    .woke = woke };
-  KqControlParams params = { 0 };
-  KqAddress data = kq_settings_address (balancer->settings, "data.address");
-  kq_program_control_params (balancer->settings, &params);
-  kq_program_fill_self (&params.self, KQ_ROLE_BALANCER,
-                        kq_settings_text (balancer->settings, "name"),
-                        kq_settings_text (balancer->settings, "failure_domain"), &data);
-  balancer->control = kq_control_new (balancer, balancer->ev, &params, &ops, balancer, error);
+                                    .woke = kq_stream_woke };
+  balancer->control = kq_stream_control_new (balancer, balancer->ev, balancer->settings,
+                                             KQ_ROLE_BALANCER, 0, &ops, balancer, error);
   return balancer->control == NULL ? -1 : 0;
 }
 
@@ -485,16 +470,8 @@
 reload (void *state, const KqSettings *settings)
 {
   StreamBalancer *balancer = state;
-  KqControlParams params = { 0 };
   balancer->settings = settings;
-  kq_program_control_params (settings, &params);
-  kq_program_set_control_keys (balancer->control, &params);
-}
-
-static int
-check (const KqSettings *settings, const char *path, KqError *error)
-{
-  return kq_program_check_control (settings, path, error);
+  kq_stream_take_keys (balancer->control, settings);
 }
 
 int
@@ -505,7 +482,7 @@
     .summary = "takes callers' segments and gives each stream to a target of its service",
     .specs = specs,
     .spec_count = sizeof specs / sizeof specs[0],
-    .check = check,
+    .check = kq_stream_check,
     .start = start,
     .stop = stop,
     .reload = reload,
--- /dev/null
+++ b/src/process/stream_process.c
@@ -0,0 +1,54 @@
+#include "kumquat/internal/program_parts.h"
+#include "kumquat/internal/stream_process.h"
+#include "kumquat/log.h"
+
+KqControl *
+kq_stream_control_new (const void *parent, struct tevent_context *ev, const KqSettings *settings,
+                       KqRole role, uint32_t service, const KqControlOps *ops, void *data,
+                       KqError *error)
+{
+  KqControlParams params = { 0 };
+  KqAddress address = kq_settings_address (settings, "data.address");
+  kq_program_control_params (settings, &params);
+  kq_program_fill_self (&params.self, role, kq_settings_text (settings, "name"),
+                        kq_settings_text (settings, "failure_domain"), &address);
+  params.self.service = service;
+  return kq_control_new (parent, ev, &params, ops, data, error);
+}
+
+void
+kq_stream_take_keys (KqControl *control, const KqSettings *settings)
+{
+  KqControlParams params = { 0 };
+  kq_program_control_params (settings, &params);
+  kq_program_set_control_keys (control, &params);
+}
+
+int
+kq_stream_check (const KqSettings *settings, const char *path, KqError *error)
+{
+  return kq_program_check_control (settings, path, error);
+}
+
+void
+kq_stream_woke (uint64_t incarnation, void *data)
+{
+  (void)data;
+  kq_log (LOG_WARNING, "woke-after-pause", "incarnation=%llu", (unsigned long long)incarnation);
+}
+
+void
+kq_stream_log_malformed (const KqAddress *from, const KqError *why)
+{
+  char address[KQ_ADDRESS_TEXT_BYTES];
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  kq_log (LOG_WARNING, "segment-malformed", "from=%s error=%s", kq_address_format (from, address),
+          kq_log_quote (why->message, quoted));
+}
+
+void
+kq_stream_log_event (int level, const char *name, const char *details, void *data)
+{
+  (void)data;
+  kq_log (level, name, "%s", details);
+}
--- a/src/process/stream_socket.c
+++ b/src/process/stream_socket.c
@@ -102,10 +102,3 @@
     address.ip[12 + i] = (uint8_t)(ip >> (24 - 8 * i));
   return address;
 }
-
-void
-kq_stream_log_event (int level, const char *name, const char *details, void *data)
-{
-  (void)data;
-  kq_log (level, name, "%s", details);
-}
--- a/tests/unit/test_stream_holder.c
+++ b/tests/unit/test_stream_holder.c
@@ -81,7 +81,7 @@
 static Fixture *
 set_up (bool complete)
 {
-  static const KqStreamHolderOps ops = { take_answer, deliver, to_caller, log_event };
+  static const KqStreamHolderOps ops = { take_answer, deliver, to_caller, log_event, NULL };
   static const KqStreamHolderParams params = { .agent = AGENT, .service = SERVICE };
   Fixture *fixture = talloc_zero (NULL, Fixture);
   fixture->holder = kq_stream_holder_new (fixture, &params, &ops, fixture, 0);
@@ -315,7 +315,7 @@
 static void
 test_unknown_target_takes_nothing (void)
 {
-  static const KqStreamHolderOps ops = { take_answer, deliver, to_caller, log_event };
+  static const KqStreamHolderOps ops = { take_answer, deliver, to_caller, log_event, NULL };
   static const KqStreamHolderParams params = { .agent = AGENT, .service = SERVICE };
   Fixture *fixture = talloc_zero (NULL, Fixture);
   fixture->holder = kq_stream_holder_new (fixture, &params, &ops, fixture, 0);
--- a/tests/unit/test_stream_router.c
+++ b/tests/unit/test_stream_router.c
@@ -88,7 +88,7 @@
 static Fixture *
 set_up (unsigned agents)
 {
-  static const KqStreamRouterOps ops = { send_frame, send_reset, log_event };
+  static const KqStreamRouterOps ops = { send_frame, send_reset, log_event, NULL };
   Fixture *fixture = talloc_zero (NULL, Fixture);
   fixture->router = kq_stream_router_new (fixture, "near", &ops, fixture);
   for (unsigned i = 0; i < agents; i++)
@@ -311,6 +311,25 @@
   talloc_free (fixture);
 }
 
+/* Regression: inc-8e85, second 21. A balancer took over a stream 66 ms after its start, knew no
+ * agent yet and gave up at once. */
+static void
+test_search_waits_for_agents (void)
+{
+  Fixture *fixture = set_up (0);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, 0);
+  kq_stream_router_tick (fixture->router, 20 * KQ_MS);
+  fixture->members[0] =
+      (KqMember){ .role = KQ_ROLE_AGENT, .phase = KQ_PHASE_SERVING, .service = SERVICE };
+  fixture->members[0].peer.id = 100;
+  kq_stream_router_set_members (fixture->router, fixture->members, 1, 30 * KQ_MS);
+  kq_stream_router_tick (fixture->router, 40 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_FIND);
+  agent_answers (fixture, 100, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, 0, 1, 41 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_CARRY);
+  talloc_free (fixture);
+}
+
 /* After a restart of agents, the segment goes to all that cannot tell; one target keeps it. */
 static void
 test_probe_of_young_agents (void)
@@ -462,6 +481,7 @@
     { "a silent agent is left out", test_silent_agent },
     { "a stream whose caller goes on is open", test_caller_goes_on },
     { "the holder of an unknown stream is found", test_search_finds_holder },
+    { "a search waits for the first agent", test_search_waits_for_agents },
     { "young agents' targets are asked", test_probe_of_young_agents },
     { "an unknown stream is not reset", test_unknown_stream_is_not_reset },
     { "the caller of a gone target is told", test_gone_target_resets_caller },
