--- a/include/kumquat/internal/holder_state.h
+++ b/include/kumquat/internal/holder_state.h
@@ -100,7 +100,6 @@
   KqTime started_at;
   unsigned silences;
   KqTime silent_until;
-  unsigned offered_count;
   KqTime next_tick;
   KqStreamHolderStats stats;
 };
--- a/include/kumquat/internal/segment.h
+++ b/include/kumquat/internal/segment.h
@@ -78,7 +78,6 @@
  * @decode: reads @size bytes into @segment, which borrows them; @from_target says which end sent
  *   them, as the bytes do not. Return: 0, or -1 with @error set
  * @set_tag: writes a tag into a segment on its way to a target
- * @clear_bounce: makes a returned segment what its sender wrote
  * @encode_reset: writes a reset for the caller of @key; @sequence lies in the caller's window.
  *   Return: its size
  */
@@ -87,6 +86,5 @@
   int (*decode) (const uint8_t *bytes, size_t size, bool from_target, KqSegment *segment,
                  KqError *error);
   void (*set_tag) (uint8_t *bytes, uint32_t tag);
-  void (*clear_bounce) (uint8_t *bytes);
   size_t (*encode_reset) (const KqStreamKey *key, uint32_t sequence, uint8_t *bytes);
 } KqSegmentCodec;
--- a/include/kumquat/internal/stream_holder.h
+++ b/include/kumquat/internal/stream_holder.h
@@ -59,7 +59,6 @@
  * struct KqStreamHolderParams - identity of one agent
  * @agent: its id
  * @service: number of the service that its target serves
- * @service_name: the same for logs
  */
 typedef struct
 {
--- a/include/kumquat/internal/stream_router.h
+++ b/include/kumquat/internal/stream_router.h
@@ -62,7 +62,7 @@
 
 /** kq_stream_router_set_routes - takes a newer configuration; it is owned by the router then.
  * Return: whether it was newer */
-bool kq_stream_router_set_routes (KqStreamRouter *router, KqRouteTable *routes, KqTime now);
+bool kq_stream_router_set_routes (KqStreamRouter *router, KqRouteTable *routes);
 
 /** kq_stream_router_routes - Return: (borrowed) (nullable) the configuration in use */
 const KqRouteTable *kq_stream_router_routes (const KqStreamRouter *router);
@@ -72,8 +72,7 @@
 void kq_stream_router_trust_routes (KqStreamRouter *router, bool trusted);
 
 /** kq_stream_router_set_members - takes the members as now believed */
-void kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count,
-                                   KqTime now);
+void kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count);
 
 /** kq_stream_router_segment - decides about a segment of a caller */
 void kq_stream_router_segment (KqStreamRouter *router, const KqSegment *segment, KqTime now);
--- a/include/kumquat/internal/stream_targets.h
+++ b/include/kumquat/internal/stream_targets.h
@@ -42,7 +42,7 @@
 /** kq_stream_targets_find - Return: (borrowed until the next set) the target, or NULL */
 KqStreamTarget *kq_stream_targets_find (const KqStreamTargets *targets, uint64_t id);
 
-/** kq_stream_targets_at - Return: (borrowed until the next set) the targets in no order */
+/** kq_stream_targets_all - Return: (borrowed until the next set) the targets in no order */
 KqStreamTarget *kq_stream_targets_all (const KqStreamTargets *targets, unsigned *count);
 
 /**
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -31,9 +31,8 @@
 }
 
 bool
-kq_stream_router_set_routes (KqStreamRouter *router, KqRouteTable *routes, KqTime now)
+kq_stream_router_set_routes (KqStreamRouter *router, KqRouteTable *routes)
 {
-  (void)now;
   if (router->routes != NULL && routes->version <= router->routes->version)
     {
       talloc_free (routes);
@@ -57,10 +56,8 @@
 }
 
 void
-kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count,
-                              KqTime now)
+kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count)
 {
-  (void)now;
   kq_stream_targets_set (router->targets, members, count);
 }
 
--- a/src/connection/stream_targets.c
+++ b/src/connection/stream_targets.c
@@ -10,15 +10,13 @@
 #include "kumquat/internal/stream_targets.h"
 #include "kumquat/panic.h"
 
-/* One way more between failure domains, there and for the answer's bytes, in which the price of
- * traffic between domains is expressed as time. A free slot nearby beats one far away; a queue of a
- * few requests does not. */
+/* What another failure domain costs, as time: a free slot nearby goes before one far away, and a
+ * slot far away before a queue of a few requests nearby. */
 #define FAR_US (20 * KQ_MS)
 
 #define SERVICE_FIRST_US 50000           /* time of a request while no agent has reported one */
 #define LOAD_FADES_US    (2 * KQ_SECOND) /* a report older than this says nothing any more */
-#define FAILING_PARTS                                                                              \
-  2 /* a failing target's answers take and hold less than one in so many parts */
+#define FAILING_PARTS    2 /* a failing target's answers take and hold less than this part */
 #define FAILING_US       (500 * KQ_MS)   /* price of an answer that is an error */
 #define FAILING_FADES_US (6 * KQ_SECOND) /* after it such a target is tried again */
 #define SILENT_US        (500 * KQ_MS)   /* pause after the first offer without an answer */
--- a/src/process/http_client.c
+++ b/src/process/http_client.c
@@ -57,6 +57,9 @@
  * @received: something of the answer came
  * @again: it may be sent a second time
  * @fresh: see KqHttpParams
+ * @complete: the whole answer came
+ * @kept: the connection may carry another call
+ * @end_at: limit of the whole call
  * @due_at: when it is given up
  * @failure: (nullable): why it is given up at @due_at
  */
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -183,7 +183,7 @@
     }
   unsigned long long version = routes->version;
   unsigned count = routes->count;
-  if (!kq_stream_router_set_routes (balancer->router, routes, kq_clock_now ()))
+  if (!kq_stream_router_set_routes (balancer->router, routes))
     return false;
   kq_log (LOG_NOTICE, "configuration-in-force", "source=%s version=%llu before=%llu routes=%u",
           source, version, old, count);
@@ -274,7 +274,7 @@
   if (balancer->control == NULL || balancer->store == NULL)
     return;
   const KqMember *members = kq_control_members (balancer->control, &count);
-  kq_stream_router_set_members (balancer->router, members, count, kq_clock_now ());
+  kq_stream_router_set_members (balancer->router, members, count);
   update_watch (balancer);
   trust_routes (balancer);
 }
--- a/tests/integration/stream_path.py
+++ b/tests/integration/stream_path.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import signal
+import socket
 import sys
 
 from processes import Failure
-from stream_world import SERVICES, World
-
-WAIT_S = 15
+from stream_world import OUTBOUND_PORT, PEER_PORT, PORT, SERVICES, World
 
 
 async def ask_many(world, count, at_once=6, seconds=3.0):
@@ -114,13 +113,11 @@
 
 async def configuration(world, mode):
     """A new route is in force within 3 s of the end of a fault of the store."""
-    world.store.mode, world.store.hang_watches = mode, mode == "hang"
-    if mode == "hang":
-        world.store.mode = "up"
+    world.store.mode = mode if mode in ("busy", "reset", "silent") else "up"
+    world.store.hang_watches = mode == "hang"
     extra = [("198.18.0.9", 1000 + len(mode), "scores")]
     world.configure(extra)
-    if mode in ("compact",):
-        world.store.mode = "up"
+    if mode == "compact":
         world.store.compact()
     ends = await ask_many(world, 30)
     world.store.mode, world.store.hang_watches = "up", False
@@ -145,8 +142,6 @@
 
 async def hostile(world):
     """Bytes of others on every port end nothing and reach no target."""
-    import socket
-    from stream_world import OUTBOUND_PORT, PEER_PORT, PORT
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     for ip in [*world.balancers.values(), *(a[0] for a in world.agents.values())]:
         for port in (PORT, PEER_PORT, OUTBOUND_PORT):
--- a/tests/integration/stream_world.py
+++ b/tests/integration/stream_world.py
@@ -6,8 +6,8 @@
 import random
 import time
 
-from processes import BIN, Bench, Failure, get
-from stream_ends import Caller, Fabric, Journal, Target
+from processes import Bench, Failure, get
+from stream_ends import Caller, Fabric, Journal, Outcome, Target
 from stream_store import Store
 
 PORT = 8172          # callers, balancers and agents take packets on it
@@ -174,7 +174,6 @@
             outcome = await flow.ask(request, caller.services, size, seconds)
             flow.end()
         else:
-            from stream_ends import Outcome
             outcome = Outcome(request, "refused" if flow.broken else "unopened",
                               time.monotonic() - start)
         if outcome.how in ("refused", "unopened") and request in self.journal.runs:
@@ -196,7 +195,3 @@
             caller.close()
         self.store.close()
         super().close()
-
-
-def binaries_exist():
-    return (BIN / "../platform/kumquat-balancer").exists()
--- a/tests/unit/test_platform_formats.c
+++ b/tests/unit/test_platform_formats.c
@@ -61,8 +61,7 @@
   CU_ASSERT_EQUAL (memcmp (bytes, reset, sizeof reset), 0);
 }
 
-/* The tag is the only thing that an agent adds, and what a target returns is what its sender wrote.
- */
+/* The tag is the only thing that an agent adds: without it the packet is what its sender wrote. */
 static void
 test_bounced (void)
 {
@@ -75,7 +74,8 @@
   CU_ASSERT_EQUAL (segment.tag, 77);
   CU_ASSERT_TRUE ((segment.flags & KQ_SEGMENT_BOUNCED) != 0);
   CU_ASSERT_EQUAL (segment.key.caller_port, 40001);
-  codec ()->clear_bounce (bytes);
+  bytes[0] = syn[0];
+  codec ()->set_tag (bytes, 0);
   CU_ASSERT_EQUAL (memcmp (bytes, syn, sizeof syn), 0);
 }
 
--- a/tests/unit/test_stream_router.c
+++ b/tests/unit/test_stream_router.c
@@ -99,8 +99,8 @@
       fixture->members[i].peer.incarnation = 1;
       snprintf (fixture->members[i].failure_domain, KQ_NAME_BYTES, "%s", "near");
     }
-  kq_stream_router_set_members (fixture->router, fixture->members, agents, 0);
-  kq_stream_router_set_routes (fixture->router, routes (1, ROUTE_PORT), 0);
+  kq_stream_router_set_members (fixture->router, fixture->members, agents);
+  kq_stream_router_set_routes (fixture->router, routes (1, ROUTE_PORT));
   kq_stream_router_trust_routes (fixture->router, true);
   return fixture;
 }
@@ -322,7 +322,7 @@
   fixture->members[0] =
       (KqMember){ .role = KQ_ROLE_AGENT, .phase = KQ_PHASE_SERVING, .service = SERVICE };
   fixture->members[0].peer.id = 100;
-  kq_stream_router_set_members (fixture->router, fixture->members, 1, 30 * KQ_MS);
+  kq_stream_router_set_members (fixture->router, fixture->members, 1);
   kq_stream_router_tick (fixture->router, 40 * KQ_MS);
   CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_FIND);
   agent_answers (fixture, 100, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, 0, 1, 41 * KQ_MS);
@@ -378,9 +378,9 @@
 test_routes_never_go_back (void)
 {
   Fixture *fixture = set_up (AGENTS);
-  CU_ASSERT_TRUE (kq_stream_router_set_routes (fixture->router, routes (9, ROUTE_PORT), 0));
-  CU_ASSERT_FALSE (kq_stream_router_set_routes (fixture->router, routes (8, 80), 0));
-  CU_ASSERT_FALSE (kq_stream_router_set_routes (fixture->router, routes (9, 80), 0));
+  CU_ASSERT_TRUE (kq_stream_router_set_routes (fixture->router, routes (9, ROUTE_PORT)));
+  CU_ASSERT_FALSE (kq_stream_router_set_routes (fixture->router, routes (8, 80)));
+  CU_ASSERT_FALSE (kq_stream_router_set_routes (fixture->router, routes (9, 80)));
   caller_sends (fixture, 1, KQ_SEGMENT_SYN, 0);
   CU_ASSERT_EQUAL (fixture->resets, 0);
   talloc_free (fixture);
@@ -391,7 +391,7 @@
 test_no_route (void)
 {
   Fixture *fixture = set_up (AGENTS);
-  kq_stream_router_set_routes (fixture->router, routes (2, 80), 0);
+  kq_stream_router_set_routes (fixture->router, routes (2, 80));
   kq_stream_router_trust_routes (fixture->router, false);
   caller_sends (fixture, 1, KQ_SEGMENT_SYN, 0);
   CU_ASSERT_EQUAL (fixture->resets, 0);
@@ -408,7 +408,7 @@
 {
   Fixture *fixture = set_up (AGENTS);
   uint64_t agent = open_stream (fixture, 1, 0);
-  kq_stream_router_set_routes (fixture->router, routes (2, 80), 0);
+  kq_stream_router_set_routes (fixture->router, routes (2, 80));
   caller_sends (fixture, 1, KQ_SEGMENT_ACK, KQ_SECOND);
   CU_ASSERT_EQUAL (last (fixture)->agent, agent);
   CU_ASSERT_EQUAL (fixture->resets, 0);
@@ -427,7 +427,7 @@
   fixture->members[0] =
       (KqMember){ .role = KQ_ROLE_AGENT, .phase = KQ_PHASE_SERVING, .service = SERVICE };
   fixture->members[0].peer.id = 100;
-  kq_stream_router_set_members (fixture->router, fixture->members, 1, 900 * KQ_MS);
+  kq_stream_router_set_members (fixture->router, fixture->members, 1);
   kq_stream_router_tick (fixture->router, 920 * KQ_MS);
   CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_OPEN);
   talloc_free (fixture);
