Introductions stay within the budget of control traffic

Cause: make demo failed ('no readiness of scoring-1 within 15 s'): with the default budget of 21 KB/s, digest exchanges each 150 ms and introductions of 24 newcomers took what documents needed. Change: the exchange is tried again after 500 ms as before; introductions end after 2 s, and their answers take only what the budget has left. Ruled out: the HTTP client and the logs (agents started and reported).

--- a/src/version/digest.c
+++ b/src/version/digest.c
@@ -6,7 +6,7 @@
 #include "kumquat/internal/group_impl.h"
 
 #define SYNC_US       (10 * KQ_SECOND)
-#define SYNC_RETRY_US (150 * KQ_MS)
+#define SYNC_RETRY_US (500 * KQ_MS)
 #define SYNC_LEAST_US (200 * KQ_MS)
 #define ANSWER_BYTES  32768
 #define ANSWER_LEAST  2048
--- a/src/version/introduce.c
+++ b/src/version/introduce.c
@@ -5,6 +5,8 @@
 
 #include "kumquat/internal/group_impl.h"
 
+#define INTRODUCE_US (2 * KQ_SECOND) /* seeds that start together with a newcomer are up by then */
+
 static void
 introduce_to (KqGroup *group, const KqAddress *seed)
 {
@@ -21,7 +23,7 @@
 kq_introduce_tick (KqGroup *group)
 {
   const KqGroupParams *params = &group->params;
-  if (group->joined || group->leaving)
+  if (group->joined || group->leaving || group->now - group->started > INTRODUCE_US)
     return;
   for (unsigned i = 0; i < params->seed_count; i++)
     if (!kq_address_equal (&params->seeds[i], &params->self.control))
@@ -47,5 +49,6 @@
       if (!kq_control_write_item (&out.writer, &item))
         break;
     }
-  kq_group_finish (group, &out, &header->reply, KQ_PRIORITY_CONFIGURATION);
+  /* What the budget has left: newcomers must not take it from documents. */
+  kq_group_finish (group, &out, &header->reply, KQ_PRIORITY_REST);
 }
