--- a/src/version/introduce.c
+++ b/src/version/introduce.c
@@ -5,8 +5,8 @@
 
 #include "kumquat/internal/group_impl.h"
 
-#define INTRODUCE_US (2 * KQ_SECOND) /* seeds that start together with a newcomer are up by then   \
-                                      */
+/* Seeds that start together with a newcomer are up by then. */
+#define INTRODUCE_US (2 * KQ_SECOND)
 
 static void
 introduce_to (KqGroup *group, const KqAddress *seed)
