Readiness checks wait for a balancer that is ready soon

Until half of a failure domain's balancers are in rotation its callers go to machines that are still down.

Ruled out: processor time.

--- /dev/null
+++ b/src/process/ready_checks.c
@@ -0,0 +1,107 @@
+/* A readiness check that comes some milliseconds before a starting process is ready would get a no,
+ * and the next one comes half a second later. After a power loss of the whole fleet these half
+ * seconds are without service, so such a check is answered when the answer is known. */
+
+#include <talloc.h>
+
+#include "kumquat/internal/clock.h"
+#include "kumquat/internal/ready_checks.h"
+#include "kumquat/internal/timer.h"
+#include "kumquat/log.h"
+
+#define HTTP_OK          200
+#define HTTP_UNAVAILABLE 503
+#define WAITING_MAX      8 /* checks at once; there is one prober, and its next check is 0.5 s away */
+
+/**
+ * struct KqReadyChecks - checks that wait for their answer
+ * @timer: due when the oldest has waited as long as it may
+ * @waiting: (array): oldest first
+ * @count: length of @waiting
+ * @since: when the oldest began to wait
+ * @was_ready: last answer
+ */
+struct KqReadyChecks
+{
+  KqReadyState (*state) (void *data);
+  void *data;
+  KqTime wait_us;
+  KqTimer *timer;
+  KqHttpRequest *waiting[WAITING_MAX];
+  unsigned count;
+  KqTime since;
+  bool was_ready;
+};
+
+static void
+respond (KqReadyChecks *checks, KqHttpRequest *request, bool ready)
+{
+  static const char empty[] = "{}";
+  if (ready != checks->was_ready)
+    kq_log (LOG_NOTICE, ready ? "ready" : "not-ready", "waited_ms=%lld",
+            checks->count == 0 ? 0LL : (long long)((kq_clock_now () - checks->since) / KQ_MS));
+  checks->was_ready = ready;
+  kq_http_respond (request, ready ? HTTP_OK : HTTP_UNAVAILABLE, "application/json", empty,
+                   sizeof empty - 1);
+}
+
+static void
+respond_all (KqReadyChecks *checks, bool ready)
+{
+  for (unsigned i = 0; i < checks->count; i++)
+    respond (checks, checks->waiting[i], ready);
+  checks->count = 0;
+  kq_timer_set (checks->timer, KQ_NEVER);
+}
+
+static void
+on_waited (void *data)
+{
+  KqReadyChecks *checks = data;
+  respond_all (checks, checks->state (checks->data).ready);
+}
+
+KqReadyChecks *
+kq_ready_checks_new (const void *parent, struct tevent_context *ev, KqTime wait_us,
+                     KqReadyState (*state) (void *data), void *data, KqError *error)
+{
+  KqReadyChecks *checks = talloc_zero (parent, KqReadyChecks);
+  if (checks == NULL)
+    {
+      kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for readiness checks; raise the limit");
+      return NULL;
+    }
+  checks->state = state;
+  checks->data = data;
+  checks->wait_us = wait_us;
+  checks->timer = kq_timer_new (checks, ev, on_waited, checks, error);
+  if (checks->timer == NULL)
+    TALLOC_FREE (checks);
+  return checks;
+}
+
+void
+kq_ready_checks_ask (KqReadyChecks *checks, KqHttpRequest *request)
+{
+  KqReadyState state = checks->state (checks->data);
+  if (state.ready || !state.soon || checks->count == WAITING_MAX)
+    {
+      respond (checks, request, state.ready);
+      return;
+    }
+  checks->waiting[checks->count++] = request;
+  if (checks->count > 1)
+    return;
+  checks->since = kq_clock_now ();
+  kq_timer_set (checks->timer, checks->since + checks->wait_us);
+}
+
+void
+kq_ready_checks_update (KqReadyChecks *checks)
+{
+  if (checks->count == 0)
+    return;
+  KqReadyState state = checks->state (checks->data);
+  if (state.ready || !state.soon)
+    respond_all (checks, state.ready);
+}
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -9,6 +9,7 @@
 #include "kumquat/http_server.h"
 #include "kumquat/internal/clock.h"
 #include "kumquat/internal/program_parts.h"
+#include "kumquat/internal/ready_checks.h"
 #include "kumquat/internal/stream_metrics.h"
 #include "kumquat/internal/stream_process.h"
 #include "kumquat/internal/stream_router.h"
@@ -16,12 +17,11 @@
 #include "kumquat/program.h"
 #include "kumquat/store.h"
 
-#define HTTP_OK          200
-#define HTTP_NOT_FOUND   404
-#define HTTP_UNAVAILABLE 503
-#define METRICS_PATH     "/metrics"
-#define RESET_BYTES      64
-#define SUMMARY_US       (1 * KQ_SECOND)
+#define HTTP_OK        200
+#define HTTP_NOT_FOUND 404
+#define METRICS_PATH   "/metrics"
+#define RESET_BYTES    64
+#define SUMMARY_US     (1 * KQ_SECOND)
 
 /* A configuration must be in force within 3 s. One that was heard of comes from a peer within 0.5
  * s, or else from the store; one that was not heard of is found by a read within 2 s. */
@@ -31,6 +31,9 @@
 #define READY_LATEST_US                                                                            \
   (3 * KQ_SECOND) /* with routes and no target it refuses, which is an answer */
 
+/* The platform checks twice a second; a check that waited for longer would meet the next one. */
+#define READY_WAIT_US (400 * KQ_MS)
+
 static const KqSettingSpec specs[] = {
   KQ_SETTING_SPEC_NAME,
   KQ_SETTING_SPEC_FAILURE_DOMAIN,
@@ -53,7 +56,6 @@
  * struct StreamBalancer - one process
  * @watching: the store is watched
  * @stopping: told to stop
- * @ready: what the last readiness check was answered
  * @refreshes: looks for a newer configuration
  * @lags: looks in a row that knew of one that is not here
  */
@@ -67,6 +69,7 @@
   KqControl *control;
   KqStore *store;
   KqHttpServer *http;
+  KqReadyChecks *ready;
   KqMetrics *metrics;
   KqMetric *open_times;
   KqStreamSocket callers;
@@ -82,7 +85,6 @@
   KqTime started_at;
   bool watching;
   bool stopping;
-  bool ready;
   uint64_t malformed;
 } StreamBalancer;
 
@@ -187,6 +189,7 @@
     return false;
   kq_log (LOG_NOTICE, "configuration-in-force", "source=%s version=%llu before=%llu routes=%u",
           source, version, old, count);
+  kq_ready_checks_update (balancer->ready);
   return true;
 }
 
@@ -277,6 +280,7 @@
   kq_stream_router_set_members (balancer->router, members, count);
   update_watch (balancer);
   trust_routes (balancer);
+  kq_ready_checks_update (balancer->ready);
 }
 
 static unsigned
@@ -290,27 +294,16 @@
   return serving;
 }
 
-static bool
-is_ready (const StreamBalancer *balancer)
-{
-  if (balancer->stopping || kq_stream_router_routes (balancer->router) == NULL)
-    return false;
-  return serving_targets (balancer) > 0 ||
-         kq_clock_now () - balancer->started_at >= READY_LATEST_US;
-}
-
-static void
-answer_ready (StreamBalancer *balancer, KqHttpRequest *request)
+static KqReadyState
+ready_state (void *data)
 {
-  static const char empty[] = "{}";
-  bool ready = is_ready (balancer);
-  if (ready != balancer->ready)
-    kq_log (LOG_NOTICE, ready ? "ready" : "not-ready", "stopping=%s routes=%s",
-            balancer->stopping ? "yes" : "no",
-            kq_stream_router_routes (balancer->router) == NULL ? "none" : "known");
-  balancer->ready = ready;
-  kq_http_respond (request, ready ? HTTP_OK : HTTP_UNAVAILABLE, "application/json", empty,
-                   sizeof empty - 1);
+  const StreamBalancer *balancer = data;
+  if (balancer->stopping)
+    return (KqReadyState){ 0 };
+  bool started = kq_clock_now () - balancer->started_at >= READY_LATEST_US;
+  bool routes = kq_stream_router_routes (balancer->router) != NULL;
+  return (KqReadyState){ .ready = routes && (started || serving_targets (balancer) > 0),
+                         .soon = !started };
 }
 
 static void
@@ -321,7 +314,7 @@
   (void)body;
   (void)size;
   if (strcmp (method, "GET") == 0 && strcmp (path, balancer->adapter->ready_path) == 0)
-    answer_ready (balancer, request);
+    kq_ready_checks_ask (balancer->ready, request);
   else if (strcmp (method, "GET") == 0 && strcmp (path, METRICS_PATH) == 0)
     {
       KqStreamRouterStats stats = kq_stream_router_stats (balancer->router);
@@ -426,6 +419,10 @@
   balancer->summary_timer = kq_timer_new (balancer, balancer->ev, on_summary, balancer, error);
   if (balancer->timer == NULL || balancer->stop_timer == NULL || balancer->summary_timer == NULL)
     return -1;
+  balancer->ready =
+      kq_ready_checks_new (balancer, balancer->ev, READY_WAIT_US, ready_state, balancer, error);
+  if (balancer->ready == NULL)
+    return -1;
   kq_timer_set (balancer->summary_timer, kq_clock_now () + SUMMARY_US);
   return 0;
 }
@@ -462,6 +459,7 @@
   StreamBalancer *balancer = state;
   KqTime forward = kq_settings_integer (balancer->settings, "shutdown.forward_ms") * KQ_MS;
   balancer->stopping = true;
+  kq_ready_checks_update (balancer->ready);
   update_watch (balancer);
   kq_timer_set (balancer->stop_timer, kq_clock_now () + forward);
 }
