Balancers keep the members' addresses in the store

Cause: the settings name three seeds. If all seeds of a new instance were gone, it found nobody until new settings came.

Ruled out: introductions that get lost. The log of every introduction shows that they were sent each 50 ms, to seeds that were not up.

Change: one balancer writes the control addresses of all members under one key, at most every 5 s and only after members changed; one that starts reads it and introduces itself to those, agents first. directory.c decides, without I/O; stream_directory.c calls the store. Tests: test_directory, introductions in test_group, "seeds gone" in stream_path (fails without it: no directory).

--- a/include/kumquat/control.h
+++ b/include/kumquat/control.h
@@ -78,6 +78,10 @@
 /** kq_control_self - Return: (borrowed) what is announced now; the incarnation may have grown */
 const KqMember *kq_control_self (const KqControl *control);
 
+/** kq_control_introduce - tells the processes at @addresses of this one, beside the seeds, until
+ * each has answered or some seconds have passed; of more than 32 the first are taken */
+void kq_control_introduce (KqControl *control, const KqAddress *addresses, unsigned count);
+
 /** kq_control_leave - announces a planned leave; call it some probe intervals before the end */
 void kq_control_leave (KqControl *control);
 
--- a/include/kumquat/internal/group.h
+++ b/include/kumquat/internal/group.h
@@ -8,6 +8,7 @@
 #include "kumquat/random.h"
 
 #define KQ_GROUP_SEEDS_MAX 8
+#define KQ_CONTACTS_MAX    32 /* answers of so many fit into a few milliseconds of a slow machine */
 #define KQ_BULK_BYTES      589824 /* largest bulk message: one document of the largest size fits */
 
 typedef struct KqGroup KqGroup;
@@ -126,6 +127,9 @@
 void kq_group_set_service (KqGroup *group, uint32_t service, KqTime now);
 void kq_group_leave (KqGroup *group, KqTime now);
 
+/** kq_group_introduce - see kq_control_introduce() */
+void kq_group_introduce (KqGroup *group, const KqAddress *addresses, unsigned count, KqTime now);
+
 /** kq_group_publish - see kq_control_publish() */
 int kq_group_publish (KqGroup *group, const KqDocument *document, KqTime now, KqError *error);
 bool kq_group_is_watcher (const KqGroup *group);
--- a/include/kumquat/internal/group_impl.h
+++ b/include/kumquat/internal/group_impl.h
@@ -147,6 +147,10 @@
 
   bool joined;
   bool settled;
+  KqAddress contacts[KQ_CONTACTS_MAX];
+  unsigned contact_count;
+  KqTime contact_until;
+  KqTime next_contact;
   unsigned sync_rounds;
   unsigned sync_tries;
   KqTime next_sync;
--- a/src/process/control_query.c
+++ b/src/process/control_query.c
@@ -58,6 +58,12 @@
   kq_group_set_service (control->group, service, kq_clock_now ());
 }
 
+void
+kq_control_introduce (KqControl *control, const KqAddress *addresses, unsigned count)
+{
+  kq_group_introduce (control->group, addresses, count, kq_clock_now ());
+}
+
 void
 kq_control_leave (KqControl *control)
 {
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -10,6 +10,7 @@
 #include "kumquat/internal/clock.h"
 #include "kumquat/internal/program_parts.h"
 #include "kumquat/internal/ready_checks.h"
+#include "kumquat/internal/stream_directory.h"
 #include "kumquat/internal/stream_metrics.h"
 #include "kumquat/internal/stream_process.h"
 #include "kumquat/internal/stream_router.h"
@@ -68,6 +69,7 @@
   KqStreamRouter *router;
   KqControl *control;
   KqStore *store;
+  KqStreamDirectory *directory;
   KqHttpServer *http;
   KqReadyChecks *ready;
   KqMetrics *metrics;
@@ -281,6 +283,8 @@
   update_watch (balancer);
   trust_routes (balancer);
   kq_ready_checks_update (balancer->ready);
+  if (balancer->directory != NULL)
+    kq_stream_directory_members_changed (balancer->directory);
 }
 
 static unsigned
@@ -450,6 +454,13 @@
     }
   kq_timer_set (balancer->refresh_timer, kq_clock_now () + REFRESH_US);
   update_watch (balancer);
+  balancer->directory =
+      kq_stream_directory_new (balancer, ev, balancer->store, balancer->control, error);
+  if (balancer->directory == NULL)
+    {
+      talloc_free (balancer);
+      return NULL;
+    }
   return balancer;
 }
 
--- a/src/version/introduce.c
+++ b/src/version/introduce.c
@@ -1,13 +1,19 @@
 /* A newcomer tells the seeds who it is with a datagram each gossip interval until it has joined,
  * and each answers with some of the members that it knows. The digest exchange goes over a
  * connection, which takes longer to come up than the rest of a process; when a whole group starts
- * at once, this is the time without service. */
+ * at once, this is the time without service. Further addresses, of members that lived before, are
+ * told less often and only until their member is known: some of them may never answer. */
+
+#include <string.h>
 
 #include "kumquat/internal/group_impl.h"
 
 /* Seeds that start together with a newcomer are up by then. */
 #define INTRODUCE_US (2 * KQ_SECOND)
 
+/* A datagram was lost, or the member is not up yet; a start takes some tenths of a second. */
+#define CONTACT_US (200 * KQ_MS)
+
 static void
 introduce_to (KqGroup *group, const KqAddress *seed)
 {
@@ -20,9 +26,54 @@
     kq_group_finish (group, &out, seed, KQ_PRIORITY_CONFIGURATION);
 }
 
+static bool
+is_known (const KqGroup *group, const KqAddress *control)
+{
+  for (unsigned i = 0; i < kq_members_count (group->members); i++)
+    {
+      const KqRecord *record = kq_members_at (group->members, i);
+      if (kq_record_live (record) && kq_address_equal (&record->who->member.control, control))
+        return true;
+    }
+  return false;
+}
+
+static void
+introduce_to_contacts (KqGroup *group)
+{
+  unsigned left = 0;
+  for (unsigned i = 0; i < group->contact_count; i++)
+    {
+      if (is_known (group, &group->contacts[i]))
+        continue;
+      introduce_to (group, &group->contacts[i]);
+      group->contacts[left++] = group->contacts[i];
+    }
+  group->contact_count = left;
+  group->next_contact = group->now + CONTACT_US;
+}
+
+void
+kq_group_introduce (KqGroup *group, const KqAddress *addresses, unsigned count, KqTime now)
+{
+  group->now = now;
+  group->contact_count = count < KQ_CONTACTS_MAX ? count : KQ_CONTACTS_MAX;
+  memcpy (group->contacts, addresses, group->contact_count * sizeof addresses[0]);
+  group->contact_until = now + INTRODUCE_US;
+  if (!group->leaving)
+    introduce_to_contacts (group);
+}
+
 void
 kq_introduce_tick (KqGroup *group)
 {
+  if (group->contact_count > 0 && !group->leaving && group->now >= group->next_contact)
+    {
+      if (group->now <= group->contact_until)
+        introduce_to_contacts (group);
+      else
+        group->contact_count = 0;
+    }
   const KqGroupParams *params = &group->params;
   if (group->joined || group->leaving || group->now - group->started > INTRODUCE_US)
     return;
--- a/tests/integration/stream_path.py
+++ b/tests/integration/stream_path.py
@@ -168,6 +168,16 @@
     return all_answered(await ask_many(world, 60))
 
 
+async def seeds_gone(world):
+    """A balancer whose seeds are all down finds the others through the store."""
+    name, ip = list(world.balancers.items())[-1]
+    await world.until("a directory", lambda: "kumquat/members" in world.store.items)
+    world.processes[name].kill()
+    world.start_balancer(name, seeds=f'"{world.ip(1, 99)}:7720"')
+    await world.until("a balancer", lambda: world.knows_all(ip))
+    return all_answered(await ask_many(world, 40))
+
+
 async def play(spray):
     with World(seed=5, spray=spray) as world:
         await world.run_all()
@@ -181,7 +191,8 @@
                    for m in ("busy", "reset", "silent", "hang", "compact")),
                  ("route removed", removed_route(world)),
                  ("hostile bytes", hostile(world)),
-                 ("everything killed", everything_killed(world))]
+                 ("everything killed", everything_killed(world)),
+                 ("seeds gone", seeds_gone(world))]
         for name, case in cases:
             try:
                 print(f"{name}: {await case}", flush=True)
--- a/tests/integration/stream_world.py
+++ b/tests/integration/stream_world.py
@@ -83,17 +83,17 @@
     def seeds(self):
         return ", ".join(f'"{ip}:{REPORT_PORT}"' for ip in list(self.balancers.values())[:3])
 
-    def settings(self, name, template, **values):
+    def settings(self, name, template, seeds=None, **values):
         path = self.folder / f"{name}.toml"
         domain = DOMAINS[int(name.rsplit("-", 1)[1]) % len(DOMAINS)]
         path.write_text(template.format(
             name=name, domain=domain, port=PORT, peer=PEER_PORT, control=CONTROL_PORT, key=KEY,
-            seeds=self.seeds(), store="%s:%d" % self.store_address, ready=READY_PORT, app=APP_PORT,
+            seeds=seeds or self.seeds(), store="%s:%d" % self.store_address, ready=READY_PORT, app=APP_PORT,
             outbound=OUTBOUND_PORT, reports=REPORT_PORT, **values))
         return path
 
-    def start_balancer(self, name):
-        path = self.settings(name, BALANCER, ip=self.balancers[name])
+    def start_balancer(self, name, seeds=None):
+        path = self.settings(name, BALANCER, seeds, ip=self.balancers[name])
         return self.start(name, "../platform/kumquat-balancer", "--config", path)
 
     def start_agent(self, name):
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -255,6 +255,66 @@
   talloc_free (network);
 }
 
+#define SEEDS 4 /* of the network: its first instances */
+
+/* Return: a network whose seeds are down, and where two others have just started. */
+static GroupNetwork *
+two_without_seeds (unsigned first, unsigned second)
+{
+  GroupNetworkParams params = group_network_defaults (20, 11);
+  GroupNetwork *network = group_network_new (NULL, &params);
+  for (unsigned i = 0; i < params.nodes; i++)
+    group_network_stop (network, i);
+  group_network_run (network, KQ_SECOND);
+  group_network_start (network, first);
+  group_network_start (network, second);
+  return network;
+}
+
+/* Regression: klapp-drift trouble-2. After a power loss all seeds started last, and 0.3 s long no
+ * balancer knew an agent, although agents were up. */
+static void
+test_introductions_replace_seeds (void)
+{
+  const unsigned first = SEEDS + 1;
+  const unsigned second = SEEDS + 9;
+  GroupNetwork *network = two_without_seeds (first, second);
+  group_network_run (network, KQ_SECOND);
+  CU_ASSERT_EQUAL (kq_group_live (group_network_node (network, first)), 1);
+  KqGroup *group = group_network_node (network, first);
+  KqAddress known[] = { kq_group_self (group_network_node (network, second)).control };
+  kq_group_introduce (group, known, 1, group_network_now (network));
+  group_network_run (network, STEP);
+  CU_ASSERT_EQUAL (kq_group_live (group), 2);
+  CU_ASSERT_EQUAL (kq_group_live (group_network_node (network, second)), 2);
+  talloc_free (network);
+}
+
+/* Who is not up yet is told again; who never comes is left alone after some seconds. */
+static void
+test_introductions_are_repeated (void)
+{
+  const unsigned first = SEEDS + 1;
+  const unsigned second = SEEDS + 9;
+  GroupNetwork *network = two_without_seeds (first, second);
+  KqGroup *group = group_network_node (network, first);
+  KqAddress known[] = { kq_group_self (group_network_node (network, second)).control,
+                        kq_group_self (group_network_node (network, second)).control };
+  known[1].ip[15] = 99;
+  group_network_stop (network, second);
+  kq_group_introduce (group, known, 2, group_network_now (network));
+  group_network_run (network, KQ_SECOND);
+  group_network_start (network, second);
+  group_network_run (network, 3 * STEP);
+  CU_ASSERT_EQUAL (kq_group_live (group), 2);
+  group_network_stop (network, second);
+  group_network_run (network, 20 * KQ_SECOND);
+  uint64_t sent = kq_group_stats (group).datagrams_sent;
+  group_network_run (network, KQ_SECOND);
+  CU_ASSERT (kq_group_stats (group).datagrams_sent - sent <= 2);
+  talloc_free (network);
+}
+
 static void
 test_budget_holds_in_a_storm (void)
 {
@@ -290,6 +350,8 @@
       test_document_is_in_force_in_time_and_never_reverts },
     { "a laggard is named", test_laggard_is_named },
     { "a newcomer learns documents and members", test_newcomer_learns_documents_and_members },
+    { "introductions replace seeds that are down", test_introductions_replace_seeds },
+    { "introductions are repeated, not for ever", test_introductions_are_repeated },
     { "the budget holds in a storm", test_budget_holds_in_a_storm },
   };
   return kq_unit_run ("group", tests, sizeof tests / sizeof tests[0]);
