Callers of streams that nobody holds are told at once

Cause: after a power loss of all machines every open stream is gone with its target, but a balancer told no caller, because an agent that it does not know might hold the stream.

Ruled out: slow starts (balancers are ready 0.5 s after power is back); lost resets (the log had "stream-lost" for each, without a word to the caller). Resetting as soon as the known agents deny was not tried: it breaks streams of an agent that restarts or is cut off.

Change: a balancer knows who lived within the lifetime of a stream (65 s), from membership and, after a start, from the directory, which is spread over peers as well for those that the store turns away (agent_roll.c). When all of these are members, and every one has answered this very question in the negative, a caller that has sent data is told. Otherwise the stream is kept as lost and searched again when more is known. Questions have numbers now, so that a late answer to an earlier one is not counted (frames of version 2); all agents that cannot tell are probed, not the first eight. An agent says when its target has ended (phase "empty") and is not missed then; and processes that leave stay 0.2 s longer, since their word of it was never sent before.

--- a/include/kumquat/internal/directory.h
+++ b/include/kumquat/internal/directory.h
@@ -1,4 +1,5 @@
-/* Control addresses of the members, as the store keeps them for processes that start. */
+/* Control addresses of agents that live or lived lately, and of balancers, as the store keeps them
+ * for processes that start. */
 #pragma once
 
 #include "kumquat/view.h"
@@ -30,10 +31,10 @@
   KqTime next;
 } KqDirectoryPlan;
 
-/** kq_directory_from_members - Return: entries written to @entries, agents first, ordered by member
- * id; members beyond @capacity are left out */
-unsigned kq_directory_from_members (const KqMember *members, unsigned count,
-                                    KqDirectoryEntry *entries, unsigned capacity);
+/** kq_directory_add_balancers - appends the balancers among the members to the agents that
+ * @entries holds. Return: entries now; those beyond @capacity are left out */
+unsigned kq_directory_add_balancers (const KqMember *members, unsigned member_count,
+                                     KqDirectoryEntry *entries, unsigned count, unsigned capacity);
 
 /** kq_directory_hash - Return: a hash of the entries in their order */
 uint64_t kq_directory_hash (const KqDirectoryEntry *entries, unsigned count);
--- a/include/kumquat/internal/holder_state.h
+++ b/include/kumquat/internal/holder_state.h
@@ -76,12 +76,14 @@
 /**
  * struct KqProbed - a segment given to the target to learn whether it holds the stream
  * @tag: what the target returns; 0 for an unused place
+ * @attempt: number of the balancer's question, for the answer
  */
 typedef struct
 {
   uint32_t tag;
   KqStreamKey key;
   KqAddress balancer;
+  uint32_t attempt;
 } KqProbed;
 
 struct KqStreamHolder
--- a/include/kumquat/internal/stream_directory.h
+++ b/include/kumquat/internal/stream_directory.h
@@ -20,3 +20,9 @@
 
 /** kq_stream_directory_members_changed - notes that members came or went */
 void kq_stream_directory_members_changed (KqStreamDirectory *directory);
+
+/** kq_stream_directory_heard - takes the directory that a peer spreads */
+void kq_stream_directory_heard (KqStreamDirectory *directory, const KqDocument *document);
+
+/** kq_stream_directory_complete - Return: see kq_agent_roll_complete() */
+bool kq_stream_directory_complete (const KqStreamDirectory *directory);
--- a/include/kumquat/internal/stream_frame.h
+++ b/include/kumquat/internal/stream_frame.h
@@ -93,7 +93,7 @@
  * @type: what it is
  * @service: the service that the receiver, or in an answer the sender, serves
  * @agent: id of the agent that is asked, or answers
- * @attempt: number of an offer, which its answer repeats
+ * @attempt: number of an offer or of a question for the holder, which its answer repeats
  * @key: the stream
  * @need: of a new stream
  * @reason: of a refusal
--- a/include/kumquat/internal/stream_process.h
+++ b/include/kumquat/internal/stream_process.h
@@ -11,9 +11,11 @@
 
 #define KQ_STREAM_FRAME_BYTES 1536 /* a segment and the longest header of a frame */
 
-/* Number and epoch under which the configuration of all streams is spread as one document. */
-#define KQ_ROUTES_DOCUMENT 1
-#define KQ_ROUTES_EPOCH    1
+/* Numbers under which the configuration of all streams and the directory of members are spread as
+ * documents, and their epoch. */
+#define KQ_ROUTES_DOCUMENT    1
+#define KQ_DIRECTORY_DOCUMENT 2
+#define KQ_DOCUMENTS_EPOCH    1
 
 /**
  * struct KqStreamSocket - a datagram socket on the event loop
@@ -58,6 +60,10 @@
 /** kq_stream_take_keys - gives a running control plane the keys of reloaded settings */
 void kq_stream_take_keys (KqControl *control, const KqSettings *settings);
 
+/** kq_stream_leave - tells the others that this process ends, and sets @timer for the time when
+ * they know. Return: false when it has done so before: then they know */
+bool kq_stream_leave (KqControl *control, KqTimer *timer);
+
 /** kq_stream_check - checks what needs more than one setting; see KqProgramOps */
 int kq_stream_check (const KqSettings *settings, const char *path, KqError *error);
 
--- a/include/kumquat/internal/stream_router.h
+++ b/include/kumquat/internal/stream_router.h
@@ -74,6 +74,10 @@
 /** kq_stream_router_set_members - takes the members as now believed */
 void kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count);
 
+/** kq_stream_router_set_complete - says whether every agent that may hold an open stream is among
+ * the members, see kq_agent_roll_complete(); only then is a stream that nobody holds reset */
+void kq_stream_router_set_complete (KqStreamRouter *router, bool complete);
+
 /** kq_stream_router_segment - decides about a segment of a caller */
 void kq_stream_router_segment (KqStreamRouter *router, const KqSegment *segment, KqTime now);
 
--- a/include/kumquat/internal/stream_state.h
+++ b/include/kumquat/internal/stream_state.h
@@ -18,7 +18,8 @@
  * @KQ_STREAM_OPEN: held by an agent
  * @KQ_STREAM_SEARCHING: agents were asked whether they hold it
  * @KQ_STREAM_PROBING: a segment went to the agents that cannot tell
- * @KQ_STREAM_REFUSED: refused with a reset, or lost; kept so that late segments cost nothing
+ * @KQ_STREAM_LOST: nobody said that it holds it, and an agent that may is missing
+ * @KQ_STREAM_REFUSED: refused with a reset; kept so that late segments cost nothing
  */
 typedef enum
 {
@@ -26,6 +27,7 @@
   KQ_STREAM_OPEN,
   KQ_STREAM_SEARCHING,
   KQ_STREAM_PROBING,
+  KQ_STREAM_LOST,
   KQ_STREAM_REFUSED
 } KqStreamState;
 
@@ -63,9 +65,14 @@
  * @used_at: when its last segment came
  * @due_at: when waiting ends
  * @acknowledged: last acknowledgement of the caller, for a reset in its window
+ * @caller_waits: the caller has sent data that nobody took yet
+ * @searched_at: when the last search began
+ * @searched_version: what was known of the agents then, see KqStreamRouter
  * @asked: agents that the last search asked
  * @unanswered: agents that were asked or probed and have not answered
- * @maybe: (array): agents that cannot tell whether they hold it
+ * @answers_missing: some agents of the last search have never answered
+ * @maybe: (array) (owned): agents that cannot tell whether they hold it; there is room for all
+ * asked
  * @maybe_count: length of @maybe
  * @held: segments that wait
  * @held_count: how many
@@ -94,9 +101,13 @@
   KqTime used_at;
   KqTime due_at;
   uint32_t acknowledged;
+  bool caller_waits;
+  KqTime searched_at;
+  unsigned searched_version;
   unsigned asked;
   unsigned unanswered;
-  uint64_t maybe[KQ_STREAM_TRIED_MAX];
+  bool answers_missing;
+  uint64_t *maybe;
   unsigned maybe_count;
   STAILQ_HEAD (, KqHeldSegment) held;
   unsigned held_count;
@@ -104,6 +115,10 @@
 
 TAILQ_HEAD (KqStreamList, KqStream);
 
+/**
+ * struct KqStreamRouter - what a balancer knows; see the calls that set it
+ * @agents_version: counts what was learnt of the agents
+ */
 struct KqStreamRouter
 {
   KqStreamRouterOps ops;
@@ -111,6 +126,8 @@
   KqRouteTable *routes;
   bool routes_trusted;
   KqStreamTargets *targets;
+  bool agents_complete;
+  unsigned agents_version;
   KqHashIndex index;
   struct KqStreamList by_use;
   struct KqStreamList by_due;
@@ -153,3 +170,7 @@
 void kq_stream_search_answer (KqStreamRouter *router, KqStream *stream, const KqStreamFrame *frame,
                               KqTime now);
 void kq_stream_search_late (KqStreamRouter *router, KqStream *stream, KqTime now);
+
+/** kq_stream_search_again - a lost stream is searched again when more is known of the agents, or
+ * forgotten */
+void kq_stream_search_again (KqStreamRouter *router, KqStream *stream, KqTime now);
--- a/include/kumquat/types.h
+++ b/include/kumquat/types.h
@@ -50,6 +50,10 @@
 
 bool kq_address_equal (const KqAddress *a, const KqAddress *b);
 
+/** kq_address_compare - Return: below, at or above 0, as @a comes before @b, is @b or comes after
+ */
+int kq_address_compare (const KqAddress *a, const KqAddress *b);
+
 /**
  * struct KqFlowKey - identifies a flow: one caller's address towards one service
  * @service: the service's number, unique in the configuration
--- a/include/kumquat/view.h
+++ b/include/kumquat/view.h
@@ -25,12 +25,14 @@
  * @KQ_PHASE_STARTING: announced, does not take flows yet
  * @KQ_PHASE_SERVING: takes new flows
  * @KQ_PHASE_DRAINING: keeps its flows, takes no new ones
+ * @KQ_PHASE_EMPTY: has ended: it holds no flows any more
  */
 typedef enum
 {
   KQ_PHASE_STARTING,
   KQ_PHASE_SERVING,
-  KQ_PHASE_DRAINING
+  KQ_PHASE_DRAINING,
+  KQ_PHASE_EMPTY
 } KqTargetPhase;
 
 /**
--- a/src/connection/holder_target.c
+++ b/src/connection/holder_target.c
@@ -15,8 +15,8 @@
       if (probed->tag != segment->tag || !kq_stream_key_equal (&probed->key, &segment->key))
         continue;
       probed->tag = 0;
-      kq_holder_answer (holder, &probed->balancer, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, 0,
-                        &segment->key);
+      kq_holder_answer (holder, &probed->balancer, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN,
+                        probed->attempt, &segment->key);
       return;
     }
 }
--- a/src/connection/stream_entry.c
+++ b/src/connection/stream_entry.c
@@ -151,6 +151,7 @@
   stream->state = KQ_STREAM_OPEN;
   stream->owner = owner->peer.id;
   stream->gone = false;
+  stream->caller_waits = false;
   kq_stream_stop_waiting (router, stream);
   KqHeldSegment *held;
   STAILQ_FOREACH (held, &stream->held, link)
--- a/src/connection/stream_frame.c
+++ b/src/connection/stream_frame.c
@@ -2,7 +2,7 @@
 
 #include "kumquat/internal/stream_frame.h"
 
-#define FRAME_VERSION 1
+#define FRAME_VERSION 2 /* 2: questions for a stream's holder carry their number */
 
 static bool
 carries_segment (KqStreamFrameType type)
@@ -16,6 +16,13 @@
   return type >= KQ_FRAME_WAITING;
 }
 
+static bool
+carries_attempt (KqStreamFrameType type)
+{
+  return type == KQ_FRAME_OPEN || type == KQ_FRAME_FIND || type == KQ_FRAME_PROBE ||
+         is_answer (type);
+}
+
 static void
 write_key (KqWriter *writer, const KqStreamKey *key)
 {
@@ -85,7 +92,7 @@
   kq_writer_uint (&writer, frame->agent);
   if (frame->type == KQ_FRAME_OPEN)
     write_need (&writer, &frame->need);
-  if (frame->type == KQ_FRAME_OPEN || is_answer (frame->type))
+  if (carries_attempt (frame->type))
     kq_writer_uint (&writer, frame->attempt);
   if (is_answer (frame->type))
     {
@@ -115,7 +122,7 @@
   frame->agent = kq_reader_uint (&reader, UINT64_MAX);
   if (frame->type == KQ_FRAME_OPEN)
     read_need (&reader, &frame->need);
-  if (frame->type == KQ_FRAME_OPEN || is_answer (frame->type))
+  if (carries_attempt (frame->type))
     frame->attempt = (uint32_t)kq_reader_uint (&reader, UINT32_MAX);
   if (is_answer (frame->type))
     {
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -192,7 +192,8 @@
 
 /* The target returns the segment with the tag when it does not hold the stream. */
 static void
-probe (KqStreamHolder *holder, const KqAddress *from, const KqSegment *segment)
+probe (KqStreamHolder *holder, const KqAddress *from, const KqStreamFrame *frame,
+       const KqSegment *segment)
 {
   KqProbed *probed = &holder->probed[++holder->last_tag % KQ_PROBES_KEPT];
   if (holder->last_tag == 0)
@@ -200,6 +201,7 @@
   probed->tag = holder->last_tag;
   probed->key = segment->key;
   probed->balancer = *from;
+  probed->attempt = frame->attempt;
   holder->stats.probed++;
   holder->stats.to_target++;
   holder->ops.deliver (segment->bytes, segment->size, probed->tag, holder->data);
@@ -235,7 +237,7 @@
     held = NULL;
   if (held == NULL && (holder->incomplete || frame->type == KQ_FRAME_PROBE))
     {
-      probe (holder, from, segment);
+      probe (holder, from, frame, segment);
       return;
     }
   if (held == NULL)
@@ -265,12 +267,13 @@
   if (held != NULL && held->state == KQ_HELD_OPEN)
     {
       held->balancer = *from;
-      kq_holder_answer (holder, from, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, 0, &frame->key);
+      kq_holder_answer (holder, from, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, frame->attempt, &frame->key);
     }
   else if (holder->incomplete)
-    kq_holder_answer (holder, from, KQ_FRAME_MAYBE, KQ_REFUSAL_NONE, 0, &frame->key);
+    kq_holder_answer (holder, from, KQ_FRAME_MAYBE, KQ_REFUSAL_NONE, frame->attempt, &frame->key);
   else
-    kq_holder_answer (holder, from, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, 0, &frame->key);
+    kq_holder_answer (holder, from, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, frame->attempt,
+                      &frame->key);
 }
 
 /* The target may already have accepted a stream that was only late; its caller decides then. */
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -59,6 +59,14 @@
 kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count)
 {
   kq_stream_targets_set (router->targets, members, count);
+  router->agents_version++;
+}
+
+void
+kq_stream_router_set_complete (KqStreamRouter *router, bool complete)
+{
+  router->agents_version += complete != router->agents_complete;
+  router->agents_complete = complete;
 }
 
 /* A stream without a route that is not sure to be missing only waits for the caller's copies. */
@@ -98,6 +106,16 @@
   kq_stream_offer (router, stream, now);
 }
 
+/* A caller that ends the stream waits for nothing more. */
+static void
+wait_for_holder (KqStream *stream, const KqSegment *segment)
+{
+  bool ends = (segment->flags & (KQ_SEGMENT_FIN | KQ_SEGMENT_RST)) != 0;
+  if (segment->payload_size > 0 && !ends)
+    stream->caller_waits = true;
+  kq_stream_hold (stream, segment);
+}
+
 static void
 search_stream (KqStreamRouter *router, KqStream *stream, const KqSegment *segment, KqTime now)
 {
@@ -106,7 +124,7 @@
   if (stream == NULL)
     return;
   stream->acknowledged = segment->acknowledged;
-  kq_stream_hold (stream, segment);
+  wait_for_holder (stream, segment);
   kq_stream_search (router, stream, now);
 }
 
@@ -168,7 +186,11 @@
       break;
     case KQ_STREAM_SEARCHING:
     case KQ_STREAM_PROBING:
-      kq_stream_hold (stream, segment);
+      wait_for_holder (stream, segment);
+      break;
+    case KQ_STREAM_LOST:
+      wait_for_holder (stream, segment);
+      kq_stream_search_again (router, stream, now);
       break;
     case KQ_STREAM_REFUSED:
       router->stats.dropped++;
@@ -239,13 +261,24 @@
       break;
     case KQ_STREAM_SEARCHING:
     case KQ_STREAM_PROBING:
-      kq_stream_search_answer (router, stream, frame, now);
+      if (frame->reason == KQ_REFUSAL_BOUNCED)
+        stream->gone = true;
+      if (frame->attempt == stream->attempt)
+        kq_stream_search_answer (router, stream, frame, now);
       break;
+    case KQ_STREAM_LOST:
     case KQ_STREAM_REFUSED:
       break;
     }
 }
 
+static void
+take_maybe (KqStreamRouter *router, KqStream *stream, const KqStreamFrame *frame, KqTime now)
+{
+  if (stream->state == KQ_STREAM_SEARCHING && frame->attempt == stream->attempt)
+    kq_stream_search_answer (router, stream, frame, now);
+}
+
 void
 kq_stream_router_frame (KqStreamRouter *router, const KqStreamFrame *frame, KqTime now)
 {
@@ -263,8 +296,8 @@
     take_holds (router, stream, target, now);
   else if (frame->type == KQ_FRAME_DECLINED)
     take_declined (router, stream, target, frame, now);
-  else if (frame->type == KQ_FRAME_MAYBE && stream->state == KQ_STREAM_SEARCHING)
-    kq_stream_search_answer (router, stream, frame, now);
+  else if (frame->type == KQ_FRAME_MAYBE)
+    take_maybe (router, stream, frame, now);
   else
     router->stats.malformed++;
 }
@@ -306,6 +339,9 @@
     case KQ_STREAM_PROBING:
       kq_stream_search_late (router, stream, now);
       break;
+    case KQ_STREAM_LOST:
+      kq_stream_search_again (router, stream, now);
+      break;
     case KQ_STREAM_REFUSED:
       kq_stream_free (router, stream);
       break;
--- a/src/connection/stream_search.c
+++ b/src/connection/stream_search.c
@@ -2,7 +2,13 @@
  * after the fabric moved the stream. All agents that can hold it are asked; the holder answers. An
  * agent that started beside a target that was running before cannot tell: the segment itself goes
  * to all of these, and each target that does not hold the stream returns it. So an open stream
- * costs a round trip, and no target gets segments of others for longer than one. */
+ * costs a round trip, and no target gets segments of others for longer than one.
+ *
+ * When nobody holds the stream, its caller is told, so that it does not wait until its deadline:
+ * after a loss of power these are all open streams. That must never hit a stream that lives. So
+ * every agent must have answered this very question, and no agent may be missing that has lived
+ * within the lifetime of a stream; otherwise the stream is lost, and searched again when more is
+ * known of the agents. */
 
 #include <syslog.h>
 
@@ -12,8 +18,9 @@
 #define RETRY_US   (20 * KQ_MS)  /* between looks for agents while none is known */
 #define PROBE_US   (120 * KQ_MS) /* a target answers or returns a segment within milliseconds */
 #define NOBODY_US                                                                                  \
-  (400 * KQ_MS)               /* a balancer that has just started learns of the agents within it */
-#define LOST_US (300 * KQ_MS) /* pause before a stream without a holder is searched again */
+  (400 * KQ_MS) /* a balancer that has just started learns of the agents within it */
+#define LOST_US   (300 * KQ_MS)  /* pause before a stream without a holder is searched again */
+#define REPEAT_US (1700 * KQ_MS) /* a caller repeats a segment after 1.6 s at the latest */
 
 static bool
 may_hold (const KqStreamRouter *router, const KqStream *stream, const KqStreamTarget *target)
@@ -28,20 +35,29 @@
   return false;
 }
 
+static bool
+nobody_holds (const KqStreamRouter *router, const KqStream *stream)
+{
+  return router->agents_complete && stream->asked > 0 && !stream->answers_missing &&
+         stream->maybe_count == 0;
+}
+
 static void
 give_up (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
+  bool certain = stream->gone || nobody_holds (router, stream);
   router->stats.lost++;
-  kq_stream_log (router, LOG_INFO, "stream-lost", stream, "target_gone=%s age_ms=%lld",
-                 stream->gone ? "yes" : "unknown", (long long)((now - stream->first_at) / KQ_MS));
-  /* Without the word of the target that held it, the stream may still live where nobody answers. */
-  if (stream->gone)
+  kq_stream_log (router, LOG_INFO, "stream-lost", stream,
+                 "target_gone=%s agents=%s asked=%u told=%s age_ms=%lld",
+                 stream->gone ? "yes" : "unknown", router->agents_complete ? "all" : "missing",
+                 stream->asked, certain && (stream->gone || stream->caller_waits) ? "yes" : "no",
+                 (long long)((now - stream->first_at) / KQ_MS));
+  if (certain && (stream->gone || stream->caller_waits))
     {
       kq_stream_refuse (router, stream, now);
       return;
     }
-  stream->state = KQ_STREAM_REFUSED;
-  kq_stream_drop_held (stream);
+  stream->state = KQ_STREAM_LOST;
   kq_stream_wait_until (router, stream, now + LOST_US);
 }
 
@@ -52,8 +68,12 @@
   KqStreamTarget *targets = kq_stream_targets_all (router->targets, &count);
   stream->state = KQ_STREAM_SEARCHING;
   stream->attempt = ++router->last_attempt;
+  stream->searched_at = now;
+  stream->searched_version = router->agents_version;
   stream->unanswered = 0;
+  stream->answers_missing = false;
   stream->maybe_count = 0;
+  stream->maybe = talloc_realloc (stream, stream->maybe, uint64_t, count + 1);
   router->stats.searches++;
   for (unsigned i = 0; i < count; i++)
     {
@@ -71,6 +91,7 @@
 {
   KqHeldSegment *held = STAILQ_FIRST (&stream->held);
   stream->state = KQ_STREAM_PROBING;
+  stream->attempt = ++router->last_attempt;
   stream->unanswered = 0;
   for (unsigned i = 0; held != NULL && i < stream->maybe_count; i++)
     {
@@ -83,6 +104,15 @@
   kq_stream_wait_until (router, stream, now + PROBE_US);
 }
 
+static void
+note_maybe (KqStream *stream, uint64_t agent)
+{
+  if (stream->maybe != NULL && stream->maybe_count < stream->asked)
+    stream->maybe[stream->maybe_count++] = agent;
+  else
+    stream->answers_missing = true;
+}
+
 static void
 forget_maybe (KqStream *stream, uint64_t agent)
 {
@@ -99,7 +129,8 @@
 conclude (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
   KqStreamTarget *last = NULL;
-  if (stream->maybe_count == 1)
+  stream->answers_missing |= stream->unanswered > 0;
+  if (stream->maybe_count == 1 && stream->maybe != NULL)
     last = kq_stream_targets_find (router->targets, stream->maybe[0]);
   if (stream->state == KQ_STREAM_SEARCHING && stream->maybe_count > 0 && stream->held_count > 0)
     probe (router, stream, now);
@@ -124,10 +155,12 @@
 kq_stream_search_answer (KqStreamRouter *router, KqStream *stream, const KqStreamFrame *frame,
                          KqTime now)
 {
-  if (frame->type == KQ_FRAME_MAYBE && stream->maybe_count < KQ_STREAM_TRIED_MAX)
-    stream->maybe[stream->maybe_count++] = frame->agent;
+  if (frame->type == KQ_FRAME_MAYBE)
+    note_maybe (stream, frame->agent);
   if (frame->type == KQ_FRAME_DECLINED)
     forget_maybe (stream, frame->agent);
+  if (frame->reason == KQ_REFUSAL_WRONG_SERVICE)
+    stream->answers_missing = true;
   if (stream->unanswered > 0)
     stream->unanswered--;
   if (stream->unanswered == 0)
@@ -142,3 +175,16 @@
   else
     conclude (router, stream, now);
 }
+
+void
+kq_stream_search_again (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  bool more_known = stream->searched_version != router->agents_version;
+  bool repeated = stream->used_at > stream->searched_at;
+  if (now - stream->searched_at >= LOST_US && (more_known || repeated))
+    kq_stream_search (router, stream, now);
+  else if (now - stream->used_at >= REPEAT_US)
+    kq_stream_free (router, stream);
+  else
+    kq_stream_wait_until (router, stream, now + LOST_US);
+}
--- a/src/connection/types.c
+++ b/src/connection/types.c
@@ -75,6 +75,13 @@
   return a->port == b->port && memcmp (a->ip, b->ip, sizeof a->ip) == 0;
 }
 
+int
+kq_address_compare (const KqAddress *a, const KqAddress *b)
+{
+  int order = memcmp (a->ip, b->ip, sizeof a->ip);
+  return order != 0 ? order : (int)a->port - (int)b->port;
+}
+
 uint64_t
 kq_flow_key_hash (const KqFlowKey *key)
 {
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -49,7 +49,7 @@
 static const char *
 phase_name (KqTargetPhase phase)
 {
-  static const char *const names[] = { "starting", "serving", "draining" };
+  static const char *const names[] = { "starting", "serving", "draining", "empty" };
   return names[phase];
 }
 
--- a/src/process/agent_http.c
+++ b/src/process/agent_http.c
@@ -178,7 +178,7 @@
 static void
 respond_target (KqAgent *agent, KqHttpRequest *request)
 {
-  static const char *const phases[] = { "starting", "serving", "draining" };
+  static const char *const phases[] = { "starting", "serving", "draining", "empty" };
   KqPlacementStats placement = { 0 };
   KqRequestGuardStats guard = { 0 };
   if (agent->placement != NULL)
--- a/src/process/stream_agent.c
+++ b/src/process/stream_agent.c
@@ -83,6 +83,8 @@
   KqTargetPhase phase = KQ_PHASE_STARTING;
   if (kq_stream_holder_takes_new (agent->holder))
     phase = KQ_PHASE_SERVING;
+  else if (state == KQ_TARGET_GONE)
+    phase = KQ_PHASE_EMPTY;
   else if (state != KQ_TARGET_UNKNOWN)
     phase = KQ_PHASE_DRAINING;
   if (phase != kq_control_self (agent->control)->phase)
@@ -366,12 +368,9 @@
   StreamAgent *agent = data;
   KqTime now = kq_clock_now ();
   if (now < agent->stop_at && kq_stream_holder_load (agent->holder).running > 0)
-    {
-      kq_timer_set (agent->stop_timer, now + STOP_TICK_US);
-      return;
-    }
-  kq_control_leave (agent->control);
-  kq_program_quit (agent->program, KQ_EXIT_OK);
+    kq_timer_set (agent->stop_timer, now + STOP_TICK_US);
+  else if (!kq_stream_leave (agent->control, agent->stop_timer))
+    kq_program_quit (agent->program, KQ_EXIT_OK);
 }
 
 static int
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -221,7 +221,7 @@
           !use_routes (balancer, value->bytes, value->size, "store"))
         continue;
       KqDocument document = { .service = KQ_ROUTES_DOCUMENT,
-                              .revision = { KQ_ROUTES_EPOCH, value->mod_revision },
+                              .revision = { KQ_DOCUMENTS_EPOCH, value->mod_revision },
                               .bytes = value->bytes,
                               .size = value->size };
       KqError error = { 0 };
@@ -237,6 +237,8 @@
   StreamBalancer *balancer = data;
   if (document->service == KQ_ROUTES_DOCUMENT)
     use_routes (balancer, document->bytes, document->size, "peer");
+  else if (document->service == KQ_DIRECTORY_DOCUMENT && balancer->directory != NULL)
+    kq_stream_directory_heard (balancer->directory, document);
 }
 
 /* Few balancers of a failure domain watch the store. One that has no configuration yet does so as
@@ -259,6 +261,13 @@
     kq_store_unwatch (balancer->store);
 }
 
+static void
+update_completeness (StreamBalancer *balancer)
+{
+  kq_stream_router_set_complete (balancer->router,
+                                 kq_stream_directory_complete (balancer->directory));
+}
+
 /* A balancer can be cut off from its peers and still reach the store and its callers. */
 static void
 on_refresh (void *data)
@@ -267,6 +276,7 @@
   kq_timer_set (balancer->refresh_timer, kq_clock_now () + REFRESH_US);
   balancer->lags = kq_control_lags (balancer->control, KQ_ROUTES_DOCUMENT) ? balancer->lags + 1 : 0;
   update_watch (balancer);
+  update_completeness (balancer);
   if (++balancer->refreshes % READ_REFRESHES == 0 && !balancer->watching && !balancer->stopping)
     kq_store_read_stale (balancer->store, balancer->adapter->routes_key, store_changed, balancer);
 }
@@ -283,8 +293,10 @@
   update_watch (balancer);
   trust_routes (balancer);
   kq_ready_checks_update (balancer->ready);
-  if (balancer->directory != NULL)
-    kq_stream_directory_members_changed (balancer->directory);
+  if (balancer->directory == NULL)
+    return;
+  kq_stream_directory_members_changed (balancer->directory);
+  update_completeness (balancer);
 }
 
 static unsigned
@@ -360,8 +372,8 @@
 on_stop (void *data)
 {
   StreamBalancer *balancer = data;
-  kq_control_leave (balancer->control);
-  kq_program_quit (balancer->program, KQ_EXIT_OK);
+  if (!kq_stream_leave (balancer->control, balancer->stop_timer))
+    kq_program_quit (balancer->program, KQ_EXIT_OK);
 }
 
 static int
--- a/src/process/stream_directory.c
+++ b/src/process/stream_directory.c
@@ -1,11 +1,13 @@
-/* The store's calls for the directory of members; when to write is decided in directory.c. */
+/* The store's calls for the directory of members; when to write is decided in directory.c. Peers
+ * spread what they read or wrote, for those that the store turns away. */
 
 #include <string.h>
 #include <talloc.h>
 
+#include "kumquat/internal/agent_roll.h"
 #include "kumquat/internal/clock.h"
-#include "kumquat/internal/directory.h"
 #include "kumquat/internal/stream_directory.h"
+#include "kumquat/internal/stream_process.h"
 #include "kumquat/internal/timer.h"
 #include "kumquat/log.h"
 #include "kumquat/random.h"
@@ -17,9 +19,11 @@
  * struct KqStreamDirectory - this process's view of the stored directory
  * @revision: of the stored value; 0 when there is none
  * @was_read: @revision is known
+ * @read_at: when the directory is read again; KQ_NEVER when nothing asks for it
  * @introduced: the directory was used once
  * @calling: a call to the store is in progress
  * @writing: hash of what the call writes
+ * @text: (owned): what the last call wrote
  */
 struct KqStreamDirectory
 {
@@ -27,10 +31,13 @@
   KqControl *control;
   KqTimer *timer;
   KqRandom random;
+  KqAgentRoll roll;
   KqDirectoryPlan plan;
   uint64_t revision;
   uint64_t writing;
+  char *text;
   bool was_read;
+  KqTime read_at;
   bool introduced;
   bool calling;
 };
@@ -40,7 +47,8 @@
 {
   unsigned count;
   const KqMember *members = kq_control_members (directory->control, &count);
-  return kq_directory_from_members (members, count, entries, KQ_DIRECTORY_ENTRIES);
+  unsigned agents = kq_agent_roll_entries (&directory->roll, entries, KQ_DIRECTORY_ENTRIES);
+  return kq_directory_add_balancers (members, count, entries, agents, KQ_DIRECTORY_ENTRIES);
 }
 
 static void
@@ -52,27 +60,56 @@
                                          addresses, KQ_DIRECTORY_ENTRIES);
   directory->introduced = true;
   kq_control_introduce (directory->control, addresses, chosen);
-  kq_log (LOG_INFO, "directory-read", "members=%u revision=%llu", count,
-          (unsigned long long)directory->revision);
 }
 
-static void
-take_value (KqStreamDirectory *directory, const KqStoreValue *value)
+/* Return: hash of the entries, or 0 when they are none. */
+static uint64_t
+take_value (KqStreamDirectory *directory, const uint8_t *bytes, size_t size, uint64_t revision,
+            const char *source)
 {
   KqDirectoryEntry entries[KQ_DIRECTORY_ENTRIES];
   KqError error = { 0 };
   char quoted[KQ_LOG_QUOTE_BYTES];
-  directory->revision = value->mod_revision;
-  int count = kq_directory_decode ((const char *)value->bytes, value->size, entries,
-                                   KQ_DIRECTORY_ENTRIES, &error);
+  int count =
+      kq_directory_decode ((const char *)bytes, size, entries, KQ_DIRECTORY_ENTRIES, &error);
   if (count < 0)
     {
-      kq_log (LOG_WARNING, "directory-refused", "error=%s", kq_log_quote (error.message, quoted));
-      return;
+      kq_log (LOG_WARNING, "directory-refused", "source=%s error=%s", source,
+              kq_log_quote (error.message, quoted));
+      return 0;
     }
-  kq_directory_plan_written (&directory->plan, kq_directory_hash (entries, (unsigned)count), 0);
+  /* A process that has run for a while knows by itself who was there. */
   if (!directory->introduced)
-    introduce (directory, entries, (unsigned)count);
+    {
+      kq_agent_roll_read (&directory->roll, entries, (unsigned)count, kq_clock_now ());
+      kq_log (LOG_INFO, "directory-read", "source=%s members=%d revision=%llu", source, count,
+              (unsigned long long)revision);
+      introduce (directory, entries, (unsigned)count);
+    }
+  return kq_directory_hash (entries, (unsigned)count);
+}
+
+static void
+spread (KqStreamDirectory *directory, const uint8_t *bytes, size_t size)
+{
+  KqDocument document = { .service = KQ_DIRECTORY_DOCUMENT,
+                          .revision = { KQ_DOCUMENTS_EPOCH, directory->revision },
+                          .bytes = bytes,
+                          .size = size };
+  KqError error = { 0 };
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  if (kq_control_publish (directory->control, &document, &error) < 0)
+    kq_log (LOG_WARNING, "directory-not-spread", "error=%s", kq_log_quote (error.message, quoted));
+}
+
+static void
+take_stored (KqStreamDirectory *directory, const KqStoreValue *value)
+{
+  directory->revision = value->mod_revision;
+  uint64_t hash = take_value (directory, value->bytes, value->size, value->mod_revision, "store");
+  kq_directory_plan_written (&directory->plan, hash, 0);
+  if (hash != 0)
+    spread (directory, value->bytes, value->size);
 }
 
 static void
@@ -85,15 +122,19 @@
     {
       kq_log (LOG_WARNING, "directory-unknown", "error=%s",
               kq_log_quote (reply->error.message, quoted));
-      kq_timer_set (directory->timer, kq_clock_now () + READ_AGAIN_US);
+      directory->read_at = directory->introduced ? KQ_NEVER : kq_clock_now () + READ_AGAIN_US;
+      if (directory->plan.due != KQ_NEVER)
+        kq_directory_plan_failed (&directory->plan, kq_clock_now ());
+      kq_stream_directory_members_changed (directory);
       return;
     }
   directory->was_read = true;
+  directory->read_at = KQ_NEVER;
   directory->revision = 0;
   for (unsigned i = 0; i < reply->count; i++)
     {
       if (strcmp (reply->values[i].key, KQ_DIRECTORY_KEY) == 0)
-        take_value (directory, &reply->values[i]);
+        take_stored (directory, &reply->values[i]);
     }
   kq_stream_directory_members_changed (directory);
 }
@@ -116,6 +157,7 @@
     {
       directory->revision = reply->revision;
       kq_directory_plan_written (&directory->plan, directory->writing, now);
+      spread (directory, (const uint8_t *)directory->text, strlen (directory->text));
       kq_stream_directory_members_changed (directory);
       return;
     }
@@ -123,7 +165,7 @@
           kq_log_quote (reply->error.message, quoted));
   directory->was_read = false;
   kq_directory_plan_failed (&directory->plan, now);
-  kq_timer_set (directory->timer, directory->plan.due);
+  kq_stream_directory_members_changed (directory);
 }
 
 static void
@@ -131,19 +173,19 @@
 {
   KqDirectoryEntry entries[KQ_DIRECTORY_ENTRIES];
   unsigned count = wanted_entries (directory, entries);
-  char *text = kq_directory_encode (directory, entries, count);
-  if (text == NULL)
+  talloc_free (directory->text);
+  directory->text = kq_directory_encode (directory, entries, count);
+  if (directory->text == NULL)
     return;
   KqStoreWrite write = { .key = KQ_DIRECTORY_KEY,
-                         .bytes = (const uint8_t *)text,
-                         .size = strlen (text),
+                         .bytes = (const uint8_t *)directory->text,
+                         .size = strlen (directory->text),
                          .expected_mod_revision = directory->revision };
   directory->calling = true;
   directory->writing = kq_directory_hash (entries, count);
   kq_log (LOG_INFO, "directory-written", "members=%u over=%llu", count,
           (unsigned long long)directory->revision);
   kq_store_write (directory->store, &write, 1, on_written, directory);
-  talloc_free (text);
 }
 
 static void
@@ -152,7 +194,7 @@
   KqStreamDirectory *directory = data;
   if (directory->calling)
     return;
-  if (!directory->was_read)
+  if (!directory->was_read || kq_clock_now () >= directory->read_at)
     read_directory (directory);
   else if (directory->plan.due != KQ_NEVER)
     write_directory (directory);
@@ -168,10 +210,12 @@
       kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for the directory; raise the limit");
       return NULL;
     }
+  directory->read_at = KQ_NEVER;
   directory->store = store;
   directory->control = control;
   kq_random_seed_system (&directory->random);
   kq_directory_plan_init (&directory->plan);
+  kq_agent_roll_init (&directory->roll, kq_clock_now ());
   directory->timer = kq_timer_new (directory, ev, on_due, directory, error);
   if (directory->timer == NULL)
     {
@@ -188,12 +232,27 @@
   KqDirectoryEntry entries[KQ_DIRECTORY_ENTRIES];
   unsigned member_count;
   KqTime now = kq_clock_now ();
-  if (directory->calling || !directory->was_read)
-    return;
   const KqMember *members = kq_control_members (directory->control, &member_count);
-  bool writer =
-      kq_directory_is_writer (members, member_count, kq_control_self (directory->control)->peer.id);
+  kq_agent_roll_update (&directory->roll, members, member_count, now);
+  if (directory->calling)
+    return;
+  uint64_t self = kq_control_self (directory->control)->peer.id;
+  bool writer = kq_directory_is_writer (members, member_count, self);
   unsigned count = wanted_entries (directory, entries);
   kq_directory_plan_update (&directory->plan, kq_directory_hash (entries, count), writer, now);
-  kq_timer_set (directory->timer, directory->plan.due);
+  KqTime due = directory->plan.due;
+  kq_timer_set (directory->timer, directory->read_at < due ? directory->read_at : due);
+}
+
+void
+kq_stream_directory_heard (KqStreamDirectory *directory, const KqDocument *document)
+{
+  take_value (directory, document->bytes, document->size, document->revision.revision, "peer");
+  kq_stream_directory_members_changed (directory);
+}
+
+bool
+kq_stream_directory_complete (const KqStreamDirectory *directory)
+{
+  return kq_agent_roll_complete (&directory->roll, kq_clock_now ());
 }
--- a/src/process/stream_process.c
+++ b/src/process/stream_process.c
@@ -1,7 +1,12 @@
+#include "kumquat/internal/clock.h"
 #include "kumquat/internal/program_parts.h"
 #include "kumquat/internal/stream_process.h"
 #include "kumquat/log.h"
 
+#define LEAVE_US                                                                                   \
+  (200 * KQ_MS) /* news has left with the next gossip, at most this interval away                  \
+                 */
+
 KqControl *
 kq_stream_control_new (const void *parent, struct tevent_context *ev, const KqSettings *settings,
                        KqRole role, uint32_t service, const KqControlOps *ops, void *data,
@@ -24,6 +29,16 @@
   kq_program_set_control_keys (control, &params);
 }
 
+bool
+kq_stream_leave (KqControl *control, KqTimer *timer)
+{
+  if (kq_control_self (control)->state == KQ_MEMBER_LEFT)
+    return false;
+  kq_control_leave (control);
+  kq_timer_set (timer, kq_clock_now () + LEAVE_US);
+  return true;
+}
+
 int
 kq_stream_check (const KqSettings *settings, const char *path, KqError *error)
 {
--- a/src/version/control_message.c
+++ b/src/version/control_message.c
@@ -64,7 +64,7 @@
   member->peer.incarnation = kq_reader_uint (reader, UINT64_MAX);
   claim->version = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
   member->state = (KqMemberState)kq_reader_uint (reader, KQ_MEMBER_LEFT);
-  member->phase = (KqTargetPhase)kq_reader_uint (reader, KQ_PHASE_DRAINING);
+  member->phase = (KqTargetPhase)kq_reader_uint (reader, KQ_PHASE_EMPTY);
   member->role = (KqRole)kq_reader_uint (reader, KQ_ROLE_AGENT);
   member->service = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
   member->weight = (uint16_t)kq_reader_uint (reader, WEIGHT_MAX);
@@ -93,7 +93,7 @@
   claim->member.peer.incarnation = kq_reader_uint (reader, UINT64_MAX);
   claim->version = (uint32_t)kq_reader_uint (reader, UINT32_MAX);
   claim->member.state = (KqMemberState)kq_reader_uint (reader, KQ_MEMBER_LEFT);
-  claim->member.phase = (KqTargetPhase)kq_reader_uint (reader, KQ_PHASE_DRAINING);
+  claim->member.phase = (KqTargetPhase)kq_reader_uint (reader, KQ_PHASE_EMPTY);
   if (claim->member.peer.id == 0)
     reader->failed = true;
 }
--- a/src/version/directory.c
+++ b/src/version/directory.c
@@ -18,24 +18,17 @@
 #define SETTLE_US   (1 * KQ_SECOND)
 #define INTERVAL_US (5 * KQ_SECOND)
 
-static unsigned
-add_role (const KqMember *members, unsigned count, KqRole role, KqDirectoryEntry *entries,
-          unsigned written, unsigned capacity)
+unsigned
+kq_directory_add_balancers (const KqMember *members, unsigned member_count,
+                            KqDirectoryEntry *entries, unsigned count, unsigned capacity)
 {
-  for (unsigned i = 0; i < count && written < capacity; i++)
+  for (unsigned i = 0; i < member_count && count < capacity; i++)
     {
-      if (members[i].role == role)
-        entries[written++] = (KqDirectoryEntry){ .control = members[i].control, .role = role };
+      if (members[i].role == KQ_ROLE_BALANCER)
+        entries[count++] =
+            (KqDirectoryEntry){ .control = members[i].control, .role = KQ_ROLE_BALANCER };
     }
-  return written;
-}
-
-unsigned
-kq_directory_from_members (const KqMember *members, unsigned count, KqDirectoryEntry *entries,
-                           unsigned capacity)
-{
-  unsigned agents = add_role (members, count, KQ_ROLE_AGENT, entries, 0, capacity);
-  return add_role (members, count, KQ_ROLE_BALANCER, entries, agents, capacity);
+  return count;
 }
 
 uint64_t
--- a/tests/integration/stream_path.py
+++ b/tests/integration/stream_path.py
@@ -168,6 +168,33 @@
     return all_answered(await ask_many(world, 60))
 
 
+async def power_loss(world):
+    """Processes and targets are gone at once: callers of open flows are told, not left waiting."""
+    await world.until("a directory", lambda: "kumquat/members" in world.store.items)
+    flows = [world.callers[1].flow() for _ in range(6)]
+    for flow in flows:
+        await flow.open()
+    for target in world.targets.values():
+        target.crash()
+    for name in [*world.balancers, *world.agents]:
+        world.processes[name].popen.send_signal(signal.SIGKILL)
+    for name in [*world.balancers, *world.agents]:
+        world.processes[name].popen.wait()
+    for name in world.balancers:
+        world.start_balancer(name)
+    for name in world.agents:
+        world.start_agent(name)
+    await world.until("agents", lambda: all(world.is_up(a[0]) for a in world.agents.values()))
+    for name in world.agents:
+        world.start_target(name)
+    await world.until("balancers that know all targets",
+                      lambda: all(world.knows_all(ip) for ip in world.balancers.values()))
+    ends = [await flow.ask(f"power{i}", ["scores"], 3000, 3.0) for i, flow in enumerate(flows)]
+    told = all(o.how == "reset" and o.seconds < 1 for o in ends)
+    return (f"open flows {'told' if told else 'left waiting'}, "
+            f"new flows {all_answered(await ask_many(world, 40))}")
+
+
 async def seeds_gone(world):
     """A balancer whose seeds are all down finds the others through the store."""
     name, ip = list(world.balancers.items())[-1]
@@ -192,6 +219,7 @@
                  ("route removed", removed_route(world)),
                  ("hostile bytes", hostile(world)),
                  ("everything killed", everything_killed(world)),
+                 ("power loss", power_loss(world)),
                  ("seeds gone", seeds_gone(world))]
         for name, case in cases:
             try:
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -5,7 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "kumquat/internal/directory.h"
+#include "kumquat/internal/agent_roll.h"
 #include "unit.h"
 
 #define MEMBERS 5
@@ -24,6 +24,17 @@
     }
 }
 
+/* Return: entries of the members, as a roll of the agents and the members give them. */
+static unsigned
+directory_of (const KqMember members[MEMBERS], KqDirectoryEntry entries[MEMBERS])
+{
+  KqAgentRoll roll;
+  kq_agent_roll_init (&roll, 0);
+  kq_agent_roll_update (&roll, members, MEMBERS, 0);
+  unsigned count = kq_agent_roll_entries (&roll, entries, MEMBERS);
+  return kq_directory_add_balancers (members, MEMBERS, entries, count, MEMBERS);
+}
+
 static void
 test_value_round_trip (void)
 {
@@ -32,7 +43,7 @@
   KqDirectoryEntry read[MEMBERS];
   KqError error = { 0 };
   fill (members);
-  unsigned count = kq_directory_from_members (members, MEMBERS, written, MEMBERS);
+  unsigned count = directory_of (members, written);
   CU_ASSERT_EQUAL (count, MEMBERS);
   char *text = kq_directory_encode (NULL, written, count);
   CU_ASSERT_EQUAL (kq_directory_decode (text, strlen (text), read, MEMBERS, &error), MEMBERS);
@@ -47,7 +58,7 @@
   KqMember members[MEMBERS];
   KqDirectoryEntry entries[MEMBERS];
   fill (members);
-  unsigned count = kq_directory_from_members (members, MEMBERS, entries, MEMBERS);
+  unsigned count = directory_of (members, entries);
   uint64_t all = kq_directory_hash (entries, count);
   CU_ASSERT_NOT_EQUAL (all, kq_directory_hash (entries, count - 1));
   entries[0].role = KQ_ROLE_BALANCER;
@@ -79,7 +90,7 @@
   KqDirectoryEntry entries[MEMBERS];
   KqAddress chosen[MEMBERS];
   fill (members);
-  unsigned count = kq_directory_from_members (members, MEMBERS, entries, MEMBERS);
+  unsigned count = directory_of (members, entries);
   for (uint64_t random = 0; random < 10; random++)
     {
       CU_ASSERT_EQUAL (
@@ -143,6 +154,85 @@
   CU_ASSERT_EQUAL (plan.due, KQ_NEVER);
 }
 
+static void
+set_agents (KqMember *members, unsigned count)
+{
+  fill (members);
+  for (unsigned i = 0; i < MEMBERS; i++)
+    members[i].role = i < count ? KQ_ROLE_AGENT : KQ_ROLE_BALANCER;
+}
+
+/* A process without memory knows who may be missing when it has read the directory. */
+static void
+test_roll_of_a_newcomer (void)
+{
+  KqAgentRoll roll;
+  KqMember members[MEMBERS];
+  KqDirectoryEntry entries[MEMBERS];
+  set_agents (members, 3);
+  kq_agent_roll_init (&roll, KQ_SECOND);
+  kq_agent_roll_update (&roll, members, MEMBERS, KQ_SECOND);
+  CU_ASSERT_FALSE (kq_agent_roll_complete (&roll, 2 * KQ_SECOND));
+  unsigned count = kq_agent_roll_entries (&roll, entries, MEMBERS);
+  CU_ASSERT_EQUAL (count, 3);
+  kq_agent_roll_init (&roll, KQ_SECOND);
+  kq_agent_roll_read (&roll, entries, count, KQ_SECOND);
+  CU_ASSERT_FALSE (kq_agent_roll_complete (&roll, KQ_SECOND));
+  set_agents (members, 2);
+  kq_agent_roll_update (&roll, members, MEMBERS, KQ_SECOND);
+  CU_ASSERT_FALSE (kq_agent_roll_complete (&roll, KQ_SECOND));
+  set_agents (members, 3);
+  kq_agent_roll_update (&roll, members, MEMBERS, KQ_SECOND);
+  CU_ASSERT_TRUE (kq_agent_roll_complete (&roll, KQ_SECOND));
+}
+
+/* An agent that is gone may have left a target that holds streams, for as long as these live. */
+static void
+test_roll_of_missing_agents (void)
+{
+  KqAgentRoll roll;
+  KqMember members[MEMBERS];
+  KqDirectoryEntry entries[MEMBERS];
+  kq_agent_roll_init (&roll, 0);
+  kq_agent_roll_read (&roll, entries, 0, 0);
+  set_agents (members, 2);
+  kq_agent_roll_update (&roll, members, MEMBERS, KQ_SECOND);
+  CU_ASSERT_TRUE (kq_agent_roll_complete (&roll, KQ_SECOND));
+  set_agents (members, 1);
+  kq_agent_roll_update (&roll, members, MEMBERS, 10 * KQ_SECOND);
+  CU_ASSERT_FALSE (kq_agent_roll_complete (&roll, 70 * KQ_SECOND));
+  CU_ASSERT_EQUAL (kq_agent_roll_entries (&roll, entries, MEMBERS), 2);
+  CU_ASSERT_TRUE (kq_agent_roll_complete (&roll, 75 * KQ_SECOND));
+  kq_agent_roll_update (&roll, members, MEMBERS, 76 * KQ_SECOND);
+  CU_ASSERT_EQUAL (kq_agent_roll_entries (&roll, entries, MEMBERS), 1);
+}
+
+/* Regression: tibeb-arena scale-2. Agents of targets that had been released were missed, and the
+ * callers of lost streams waited in vain. */
+static void
+test_empty_agents_are_not_missed (void)
+{
+  KqAgentRoll roll;
+  KqMember members[MEMBERS];
+  KqDirectoryEntry entries[MEMBERS];
+  kq_agent_roll_init (&roll, 0);
+  kq_agent_roll_read (&roll, entries, 0, 0);
+  set_agents (members, 3);
+  kq_agent_roll_update (&roll, members, MEMBERS, KQ_SECOND);
+  members[2].phase = KQ_PHASE_EMPTY;
+  kq_agent_roll_update (&roll, members, MEMBERS, 2 * KQ_SECOND);
+  CU_ASSERT_EQUAL (kq_agent_roll_entries (&roll, entries, MEMBERS), 2);
+  set_agents (members, 2);
+  kq_agent_roll_update (&roll, members, MEMBERS, 3 * KQ_SECOND);
+  CU_ASSERT_TRUE (kq_agent_roll_complete (&roll, 3 * KQ_SECOND));
+  /* A new target beside the same agent is missed again. */
+  set_agents (members, 3);
+  kq_agent_roll_update (&roll, members, MEMBERS, 4 * KQ_SECOND);
+  set_agents (members, 2);
+  kq_agent_roll_update (&roll, members, MEMBERS, 5 * KQ_SECOND);
+  CU_ASSERT_FALSE (kq_agent_roll_complete (&roll, 5 * KQ_SECOND));
+}
+
 int
 main (void)
 {
@@ -154,6 +244,9 @@
     { "one balancer writes", test_one_balancer_writes },
     { "writes are few", test_writes_are_few },
     { "nothing is written without need", test_no_write_without_need },
+    { "a newcomer knows who is missing from the directory", test_roll_of_a_newcomer },
+    { "agents of ended targets are not missed", test_empty_agents_are_not_missed },
+    { "a missing agent counts as long as streams live", test_roll_of_missing_agents },
   };
   return kq_unit_run ("directory", tests, sizeof tests / sizeof tests[0]);
 }
