A refused renewal leaves the feed as it is

The request guard ended an observation as soon as a request to renew it came. When the target refused the renewal, or it waited for a slot, notifications of the feed, which the target still had, came under an unknown token; they were dropped and the target was told to stop.

Ruled out: lost notifications and the limit of observers (no fault of the network in this case; 6 feeds of at most 4096).

Change: the observation goes on until the target has agreed to the renewal. It is kept when the renewal is refused, given up or superseded; a message under the shared token is the answer of a renewal that was sent, else a notification.

--- a/include/kumquat/internal/exchange.h
+++ b/include/kumquat/internal/exchange.h
@@ -59,6 +59,9 @@
  * @class_index: request class
  * @notified: a notification was sent to the caller
  * @notification_mid: message id of the latest one
+ * @renewed: (nullable) (borrowed): observation that this request renews; it goes on until the
+ * target has agreed
+ * @renewal: (nullable) (borrowed): request that renews this observation
  * @kept: (nullable): outcome of a non-idempotent request
  * @datagram: (owned) (nullable): what the caller sent, as long as it may have to be sent on
  * @size: bytes at @datagram
@@ -87,6 +90,8 @@
   unsigned class_index;
   bool notified;
   uint16_t notification_mid;
+  struct KqExchange *renewed;
+  struct KqExchange *renewal;
   KqKeptAnswer *kept;
   uint8_t *datagram;
   size_t size;
--- a/include/kumquat/internal/guard.h
+++ b/include/kumquat/internal/guard.h
@@ -223,6 +223,14 @@
  */
 void kq_guard_end_observation (KqRequestGuard *guard, KqExchange *exchange, bool tell_target);
 
+/** kq_guard_renew - lets @exchange take the caller's token over from the observation that it renews
+ */
+void kq_guard_renew (KqRequestGuard *guard, KqExchange *exchange, KqExchange *renewed);
+
+/** kq_guard_keep_observation - the renewal failed: the observation goes on under the caller's token
+ */
+void kq_guard_keep_observation (KqRequestGuard *guard, KqExchange *renewal);
+
 /** kq_guard_free - takes an exchange out of all indexes and frees it; it is in no list any more */
 void kq_guard_free (KqRequestGuard *guard, KqExchange *exchange);
 
--- a/src/connection/stream_search.c
+++ b/src/connection/stream_search.c
@@ -93,7 +93,7 @@
   stream->state = KQ_STREAM_PROBING;
   stream->attempt = ++router->last_attempt;
   stream->unanswered = 0;
-  for (unsigned i = 0; held != NULL && i < stream->maybe_count; i++)
+  for (unsigned i = 0; held != NULL && stream->maybe != NULL && i < stream->maybe_count; i++)
     {
       KqStreamTarget *target = kq_stream_targets_find (router->targets, stream->maybe[i]);
       if (target == NULL)
--- a/src/request/guard_caller.c
+++ b/src/request/guard_caller.c
@@ -49,25 +49,35 @@
   kq_guard_acknowledge (guard, arrival->key, &exchange->back);
 }
 
-/* Gives up a request or an observation whose token is now used for another idempotent request. */
+/* Gives up a request whose token is now used for another idempotent request. */
 static void
 supersede (KqRequestGuard *guard, KqExchange *exchange, KqTime now)
 {
+  guard->stats.cancelled++;
+  kq_guard_keep_observation (guard, exchange);
   if (exchange->state == KQ_EXCHANGE_RUNNING)
-    {
-      guard->stats.cancelled++;
-      kq_guard_give_up (guard, exchange, KQ_CANCEL_CALLER, now);
-    }
-  else if (exchange->state == KQ_EXCHANGE_OBSERVING)
-    kq_guard_end_observation (guard, exchange, false);
+    kq_guard_give_up (guard, exchange, KQ_CANCEL_CALLER, now);
   else
     {
-      guard->stats.cancelled++;
       kq_request_queue_remove (&guard->queue, exchange);
       kq_guard_free (guard, exchange);
     }
 }
 
+/* Return: (nullable): the observation that a request under its token renews; one that ends it does
+ * so here. */
+static KqExchange *
+renewed_by (KqRequestGuard *guard, const KqArrival *arrival)
+{
+  const KqCoapMessage *message = arrival->message;
+  KqExchange *observation =
+      kq_guard_find (guard, arrival->key, message->token, message->token_size);
+  if (observation == NULL || (message->observe_present && message->observe == 0))
+    return observation;
+  kq_guard_end_observation (guard, observation, false);
+  return NULL;
+}
+
 static KqKeptAnswer *
 find_kept (const KqRequestGuard *guard, const KqArrival *arrival)
 {
@@ -82,9 +92,10 @@
 }
 
 /* Answers a repeat of a request that is known. @target_token is set to the token of an observation
- * that the request renews or ends. */
+ * that the request renews or ends, and @renewed to one that it renews. */
 static bool
-handle_repeat (KqRequestGuard *guard, const KqArrival *arrival, uint64_t *target_token)
+handle_repeat (KqRequestGuard *guard, const KqArrival *arrival, uint64_t *target_token,
+               KqExchange **renewed)
 {
   const KqCoapMessage *message = arrival->message;
   bool guarded = kq_method (message->code) == KQ_METHOD_GUARDED;
@@ -104,7 +115,11 @@
     {
       if (exchange->state == KQ_EXCHANGE_OBSERVING)
         *target_token = exchange->target_token;
-      supersede (guard, exchange, arrival->now);
+      else
+        supersede (guard, exchange, arrival->now);
+      *renewed = renewed_by (guard, arrival);
+      if (*renewed != NULL)
+        *target_token = (*renewed)->target_token;
     }
   KqKeptAnswer *kept = guarded ? find_kept (guard, arrival) : NULL;
   if (kept == NULL)
@@ -190,35 +205,41 @@
 }
 
 static void
-admit_idempotent (KqRequestGuard *guard, const KqArrival *arrival, uint64_t target_token)
+admit_idempotent (KqRequestGuard *guard, const KqArrival *arrival, uint64_t target_token,
+                  KqExchange *renewed)
 {
   const KqCoapMessage *message = arrival->message;
   bool registers = message->observe_present && message->observe == 0;
   KqExchange *exchange = NULL;
   guard->stats.requests++;
-  if (!registers || guard->observer_count < guard->params.observers_max)
+  if (!registers || renewed != NULL || guard->observer_count < guard->params.observers_max)
     exchange = kq_guard_open (guard, arrival, target_token);
   if (exchange == NULL)
-    kq_guard_reply_refused (guard, arrival);
-  else
-    kq_guard_schedule (guard, exchange, arrival->now);
+    {
+      kq_guard_reply_refused (guard, arrival);
+      return;
+    }
+  if (renewed != NULL)
+    kq_guard_renew (guard, exchange, renewed);
+  kq_guard_schedule (guard, exchange, arrival->now);
 }
 
 static void
 request (KqRequestGuard *guard, const KqArrival *arrival)
 {
   uint64_t target_token = 0;
+  KqExchange *renewed = NULL;
   KqMethod method = kq_method (arrival->message->code);
   if (method == KQ_METHOD_UNKNOWN)
     kq_guard_reply (guard, arrival, KQ_COAP_METHOD_NOT_ALLOWED);
   else if (arrival->message->unknown_critical)
     kq_guard_reply (guard, arrival, KQ_COAP_BAD_OPTION);
-  else if (!handle_repeat (guard, arrival, &target_token))
+  else if (!handle_repeat (guard, arrival, &target_token, &renewed))
     {
       if (method == KQ_METHOD_GUARDED)
         admit_guarded (guard, arrival);
       else
-        admit_idempotent (guard, arrival, target_token);
+        admit_idempotent (guard, arrival, target_token, renewed);
     }
 }
 
@@ -334,6 +355,7 @@
   KqCoapMessage message;
   KqArrival arrival = { .key = key, .bytes = bytes, .size = size, .now = now };
   uint64_t target_token = 0;
+  KqExchange *renewed = NULL;
   (void)reason;
   kq_guard_event (guard, now);
   if (!parse (guard, &arrival, &message) || message.code == KQ_COAP_EMPTY)
@@ -341,7 +363,7 @@
   KqMethod method = kq_method (message.code);
   if (method == KQ_METHOD_UNKNOWN || message.unknown_critical)
     kq_guard_reply (guard, &arrival, KQ_COAP_BAD_OPTION);
-  else if (handle_repeat (guard, &arrival, &target_token))
+  else if (handle_repeat (guard, &arrival, &target_token, &renewed))
     return;
   else if (method != KQ_METHOD_GUARDED || message.echo_size == 0)
     kq_guard_reply_refused (guard, &arrival);
--- a/src/request/guard_exchange.c
+++ b/src/request/guard_exchange.c
@@ -85,9 +85,36 @@
   return exchange;
 }
 
+/* A target that refuses to renew a feed goes on with it, and so does the caller, who asks again. */
+void
+kq_guard_renew (KqRequestGuard *guard, KqExchange *exchange, KqExchange *renewed)
+{
+  kq_hash_index_remove (&guard->by_token, &renewed->by_token);
+  exchange->renewed = renewed;
+  renewed->renewal = exchange;
+}
+
+void
+kq_guard_keep_observation (KqRequestGuard *guard, KqExchange *renewal)
+{
+  KqExchange *observation = renewal->renewed;
+  if (observation == NULL)
+    return;
+  renewal->renewed = NULL;
+  observation->renewal = NULL;
+  const KqReturnPath *back = &observation->back;
+  kq_hash_index_remove (&guard->by_token, &renewal->by_token);
+  kq_hash_index_insert (&guard->by_token, &observation->by_token,
+                        kq_request_hash (&observation->key, back->token, back->token_size));
+}
+
 void
 kq_guard_free (KqRequestGuard *guard, KqExchange *exchange)
 {
+  if (exchange->renewed != NULL)
+    exchange->renewed->renewal = NULL;
+  if (exchange->renewal != NULL)
+    exchange->renewal->renewed = NULL;
   kq_hash_index_remove (&guard->by_token, &exchange->by_token);
   kq_hash_index_remove (&guard->by_target, &exchange->by_target);
   talloc_free (exchange);
@@ -110,6 +137,7 @@
   kq_guard_settle (guard, exchange, KQ_KEPT_REFUSED, bytes, size, now);
   kq_guard_respond (guard, &exchange->key, &exchange->back, bytes, size, now);
   guard->ops.finished (&exchange->key, now - exchange->arrived, false, guard->data);
+  kq_guard_keep_observation (guard, exchange);
   kq_guard_free (guard, exchange);
 }
 
@@ -229,6 +257,7 @@
     kq_guard_send_empty (guard, &exchange->key, KQ_COAP_RST, exchange->target_mid);
   if (reason == KQ_CANCEL_DEADLINE)
     kq_request_costs_sample (&guard->costs, exchange->class_index, now - exchange->started);
+  kq_guard_keep_observation (guard, exchange);
   TAILQ_REMOVE (&guard->running, exchange, entry);
   guard->running_count--;
   wait_for_late_answer (guard, exchange, reason != KQ_CANCEL_TARGET, now);
--- a/src/request/guard_target.c
+++ b/src/request/guard_target.c
@@ -81,11 +81,17 @@
     return NULL;
   uint64_t token = get_token (message->token);
   KqHashLink *link = kq_hash_index_find (&guard->by_target, token);
-  if (link == NULL)
-    return NULL;
-  KqExchange *exchange = KQ_CONTAINER (link, KqExchange, by_target);
-  bool sent = exchange->state != KQ_EXCHANGE_WAITING;
-  return sent && kq_flow_key_equal (&exchange->key, key) ? exchange : NULL;
+  KqExchange *found = NULL;
+  while (link != NULL)
+    {
+      KqExchange *exchange = KQ_CONTAINER (link, KqExchange, by_target);
+      /* The answer to a renewal and a notification of what it renews look the same. */
+      if (exchange->state != KQ_EXCHANGE_WAITING && kq_flow_key_equal (&exchange->key, key) &&
+          (found == NULL || exchange->state < found->state))
+        found = exchange;
+      link = kq_hash_link_match (link->next, token);
+    }
+  return found;
 }
 
 /* The target said something, so it has seen the cancellations that were sent before. */
@@ -160,9 +166,12 @@
     {
       believe_shedding (guard, message, now);
       refused_by_target (guard, exchange, bytes, size, now);
+      kq_guard_keep_observation (guard, exchange);
       kq_guard_free (guard, exchange);
       return;
     }
+  if (exchange->renewed != NULL)
+    kq_guard_end_observation (guard, exchange->renewed, false);
   kq_request_costs_sample (&guard->costs, exchange->class_index, now - exchange->started);
   count_answer (guard, exchange, now);
   kq_guard_settle (guard, exchange, KQ_KEPT_ANSWERED, bytes, size, now);
--- a/tests/unit/test_request_feeds.c
+++ b/tests/unit/test_request_feeds.c
@@ -101,6 +101,63 @@
     }
 }
 
+/* Regression: shedding-target. A target that shed load refused the renewals of a feed; the guard
+ * had dropped the feed by then, and its notifications were answered with resets. */
+static void
+test_refused_renewal_leaves_the_feed (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  setup (&fixture, &params);
+  observe (&fixture, 1, 0);
+  notify (&fixture, 0, KQ_COAP_NON, 1, "first");
+  for (unsigned i = 0; i < 3; i++)
+    {
+      fixture.now += KQ_SECOND;
+      observe (&fixture, 1, 0);
+      answer (&fixture, fixture.target.count - 1, KQ_COAP_SERVICE_UNAVAILABLE, "");
+      CU_ASSERT_EQUAL (last (&fixture.caller)->code, KQ_COAP_SERVICE_UNAVAILABLE);
+      notify (&fixture, 0, KQ_COAP_NON, 2 + i, "go on");
+      expect_last (&fixture, KQ_COAP_CONTENT, "go on");
+      CU_ASSERT_EQUAL (stats_of (&fixture).observers, 1);
+    }
+  fixture.now += 10 * KQ_SECOND;
+  observe (&fixture, 1, 0);
+  notify (&fixture, fixture.target.count - 1, KQ_COAP_ACK, 9, "renewed");
+  expect_last (&fixture, KQ_COAP_CONTENT, "renewed");
+  CU_ASSERT_EQUAL (stats_of (&fixture).observers, 1);
+  kq_request_guard_flow_closed (fixture.guard, &fixture.flow, fixture.now);
+  CU_ASSERT_TRUE (kq_request_guard_idle (fixture.guard));
+  talloc_free (fixture.guard);
+}
+
+/* While a renewal waits for a slot, and when it is refused there, notifications go on. */
+static void
+test_waiting_renewal_leaves_the_feed (void)
+{
+  Fixture fixture;
+  KqRequestGuardParams params = default_params ();
+  params.slots = 1;
+  setup (&fixture, &params);
+  observe (&fixture, 1, 0);
+  notify (&fixture, 0, KQ_COAP_NON, 1, "first");
+  KqCoapMessage get = make_request (&fixture, KQ_COAP_GET, 2);
+  from_caller (&fixture, &get);
+  unsigned sent = fixture.target.count;
+  observe (&fixture, 1, 0);
+  observe (&fixture, 1, 0);
+  CU_ASSERT_EQUAL (fixture.target.count, sent);
+  notify (&fixture, 0, KQ_COAP_NON, 2, "second");
+  expect_last (&fixture, KQ_COAP_CONTENT, "second");
+  kq_request_guard_drain (fixture.guard, fixture.now);
+  fixture.now += 60 * KQ_SECOND;
+  kq_request_guard_tick (fixture.guard, fixture.now);
+  notify (&fixture, 0, KQ_COAP_NON, 3, "third");
+  expect_last (&fixture, KQ_COAP_CONTENT, "third");
+  CU_ASSERT_EQUAL (stats_of (&fixture).observers, 1);
+  talloc_free (fixture.guard);
+}
+
 static void
 test_confirmable_notification_is_sent_again (void)
 {
@@ -274,6 +331,8 @@
   static const KqUnitTest tests[] = {
     { "a feed lives through a drain", test_feed_lives_through_drain_and_holds_no_slot },
     { "a caller ends a feed", test_caller_ends_a_feed },
+    { "a refused renewal leaves the feed", test_refused_renewal_leaves_the_feed },
+    { "a waiting renewal leaves the feed", test_waiting_renewal_leaves_the_feed },
     { "a confirmable notification is sent again", test_confirmable_notification_is_sent_again },
     { "a separate answer is sent again", test_separate_answer_is_sent_until_acknowledged },
     { "cancelled requests", test_cancelled_requests },
