kumquatctl shows balancers and agents of streams

Ruled out: an operators' interface of the balancer's kind. What operators write to the store counts as confirmed there, so there is nothing to plan or confirm.

Change: `kumquatctl streams ADDRESS...` reads /metrics of each process and prints a line for it; exit 1 when configurations differ, 6 when one does not answer. Balancers of streams serve kumquat_store_reachable.

Tests: operations.py runs it against all processes of its world and an address without one.

--- a/include/kumquat/internal/ctl_impl.h
+++ b/include/kumquat/internal/ctl_impl.h
@@ -51,6 +51,9 @@
 /** kq_ctl_settings - sets KEY=VALUE, with dots for tables, in @object; Return: 0 or -1 */
 int kq_ctl_setting (json_t *object, const char *key, json_t *value);
 
+/** kq_ctl_streams - prints the status of processes that balance streams; Return: the exit status */
+int kq_ctl_streams (const KqCtl *ctl);
+
 /* Text for people; the JSON is the server's answer. */
 void kq_ctl_print_plan (FILE *out, const json_t *plan);
 void kq_ctl_print_status (FILE *out, const json_t *status);
--- a/include/kumquat/internal/stream_metrics.h
+++ b/include/kumquat/internal/stream_metrics.h
@@ -11,7 +11,7 @@
 /** kq_stream_metrics_router - sets a balancer's series; @routes is NULL before the first ones */
 void kq_stream_metrics_router (KqMetrics *metrics, const KqStreamRouterStats *stats,
                                const KqRouteTable *routes, unsigned serving_targets,
-                               uint64_t malformed);
+                               bool store_reachable, uint64_t malformed);
 
 /** kq_stream_metrics_holder - sets an agent's series */
 void kq_stream_metrics_holder (KqMetrics *metrics, const KqStreamHolderStats *stats,
--- a/src/process/ctl.c
+++ b/src/process/ctl.c
@@ -355,7 +355,10 @@
     return show (ctl, "/v1/services", kq_ctl_print_services);
   if (strcmp (command, "report") == 0)
     return show (ctl, "/v1/report", kq_ctl_print_report);
-  fprintf (stderr, "%s: unknown command; use plan, confirm, watch, status, services or report\n",
+  if (strcmp (command, "streams") == 0)
+    return kq_ctl_streams (ctl);
+  fprintf (stderr,
+           "%s: unknown command; use plan, confirm, watch, status, services, report or streams\n",
            command);
   return KQ_CTL_USAGE;
 }
@@ -384,7 +387,8 @@
   };
   int result;
   poptContext context = poptGetContext ("kumquatctl", argc, argv, table, 0);
-  poptSetOtherOptionHelp (context, "plan|confirm|watch|status|services|report [ARGUMENT...]");
+  poptSetOtherOptionHelp (context,
+                          "plan|confirm|watch|status|services|report|streams [ARGUMENT...]");
   int code = poptGetNextOpt (context);
   const char **arguments = poptGetArgs (context);
   ctl.arguments = arguments == NULL ? no_arguments : arguments;
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -336,7 +336,7 @@
       KqStreamRouterStats stats = kq_stream_router_stats (balancer->router);
       const KqRouteTable *routes = kq_stream_router_routes (balancer->router);
       kq_stream_metrics_router (balancer->metrics, &stats, routes, serving_targets (balancer),
-                                balancer->malformed);
+                                kq_store_reachable (balancer->store), balancer->malformed);
       kq_stream_metrics_respond (request, balancer->metrics, balancer->control);
     }
   else
--- a/src/process/stream_metrics.c
+++ b/src/process/stream_metrics.c
@@ -42,8 +42,11 @@
 
 void
 kq_stream_metrics_router (KqMetrics *metrics, const KqStreamRouterStats *stats,
-                          const KqRouteTable *routes, unsigned serving_targets, uint64_t malformed)
+                          const KqRouteTable *routes, unsigned serving_targets,
+                          bool store_reachable, uint64_t malformed)
 {
+  set_gauge (metrics, "kumquat_store_reachable", "Whether the store answered the last call.",
+             store_reachable);
   set_gauge (metrics, "kumquat_targets_serving", "Targets that say they take new streams.",
              serving_targets);
   set_gauge (metrics, "kumquat_config_version", "Version of the configuration in use; 0 for none.",
--- a/tests/integration/operations.py
+++ b/tests/integration/operations.py
@@ -5,9 +5,11 @@
 import asyncio
 import pathlib
 import re
+import subprocess
 import sys
 
-from stream_world import World
+from processes import BIN
+from stream_world import READY_PORT, World
 
 PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs/OPERATIONS.md"
 
@@ -27,6 +29,17 @@
     return fields_of(PAGE.read_text(encoding="utf-8"), event)
 
 
+def streams_status(world):
+    """Runs the page's command against all processes, and against an address where none is."""
+    addresses = [*world.balancers.values(), *(a[0] for a in world.agents.values())]
+    command = [BIN / "kumquatctl", "streams", *(f"{ip}:{READY_PORT}" for ip in addresses),
+               f"{world.ip(9, 9)}:{READY_PORT}"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    text = re.sub(r"127\.[0-9.]+:[0-9]+", "ADDRESS", done.stdout + done.stderr)
+    text = re.sub(r"(request|streams|refused|lost) [0-9]+", r"\1 N", text)
+    return f"{text}exit {done.returncode}"
+
+
 async def refuse_and_lose(world):
     """One target only, which crashes: open flows are lost, new ones are refused."""
     flows = [world.callers[1].flow() for _ in range(3)]
@@ -47,7 +60,9 @@
             await world.ask(world.callers[1])
         await refuse_and_lose(world)
         await asyncio.sleep(1.2)  # a summary is written each second
+        status = streams_status(world)
         balancers, agents = logs(world, "balancer"), logs(world, "agent")
+    print(status)
     wrong = 0
     for event, text in (("stream-refused", balancers), ("stream-lost", balancers),
                         ("target-summary", agents), ("streams-summary", balancers)):
