The directory is written every two seconds instead of every five

A balancer that joined at 21.27 s read a directory of 16.9 s, became its writer, and kept three agents whose targets had ended in between. Every balancer that started missed them for a minute and told nobody.

Ruled out: agents that do not say that their target has ended (all five did, 2 s before they left).

Change: two seconds between writes; a newcomer reads of what is 3 s old at most.

--- a/src/version/directory.c
+++ b/src/version/directory.c
@@ -14,9 +14,10 @@
 #include "kumquat/internal/directory.h"
 
 /* Members of a fleet that starts or is rolled change many times a second; a write a change would
- * cost the store more than a start without hints costs callers. */
+ * cost the store more than a start without hints costs callers. What a newcomer reads is as old as
+ * the interval, and agents that it misses wrongly keep it from telling callers of lost streams. */
 #define SETTLE_US   (1 * KQ_SECOND)
-#define INTERVAL_US (5 * KQ_SECOND)
+#define INTERVAL_US (2 * KQ_SECOND)
 
 unsigned
 kq_directory_add_balancers (const KqMember *members, unsigned member_count,
