--- a/include/kumquat/internal/ctl_impl.h
+++ b/include/kumquat/internal/ctl_impl.h
@@ -4,6 +4,7 @@
 #include <jansson.h>
 #include <stdio.h>
 
+#include "kumquat/internal/http_client.h"
 #include "kumquat/types.h"
 
 /**
@@ -31,6 +32,13 @@
   unsigned count;
 } KqCtl;
 
+/**
+ * kq_ctl_call - sends one request to @server and waits until its callback has set @done
+ *
+ * Return: 0, or -1 when @server is no address; errors are printed.
+ */
+int kq_ctl_call (const char *server, KqHttpParams *params, const bool *done);
+
 /**
  * kq_ctl_ask - sends one request and waits for its answer; errors are printed
  * @body: (nullable): JSON to send
--- a/src/process/ctl.c
+++ b/src/process/ctl.c
@@ -8,7 +8,6 @@
 
 #include "kumquat/ctl.h"
 #include "kumquat/internal/ctl_impl.h"
-#include "kumquat/internal/http_client.h"
 
 #define DEFAULT_SERVER  "127.0.0.1:6200"
 #define CALL_TIMEOUT_US (30 * KQ_SECOND)
@@ -73,12 +72,30 @@
   return 0;
 }
 
+int
+kq_ctl_call (const char *server, KqHttpParams *params, const bool *done)
+{
+  KqError error = { 0 };
+  if (kq_address_parse (server, &params->address, &error) < 0)
+    {
+      fprintf (stderr, "%s\n", error.message);
+      return -1;
+    }
+  struct tevent_context *ev = tevent_context_init (NULL);
+  KqHttpClient *http = kq_http_client_new (ev, ev, &error);
+  if (http != NULL)
+    kq_http_call (http, params);
+  while (http != NULL && !*done)
+    tevent_loop_once (ev);
+  talloc_free (ev);
+  return 0;
+}
+
 json_t *
 kq_ctl_ask (const KqCtl *ctl, const char *method, const char *path, const char *body,
             unsigned *status)
 {
   char key[KEY_BYTES];
-  KqError error = { 0 };
   Reply reply = { 0 };
   const char *environment = getenv ("KUMQUAT_SERVER");
   const char *server = ctl->server != NULL ? ctl->server : environment;
@@ -93,18 +110,8 @@
     return NULL;
   params.bearer = key[0] == '\0' ? NULL : key;
   server = server == NULL ? DEFAULT_SERVER : server;
-  if (kq_address_parse (server, &params.address, &error) < 0)
-    {
-      fprintf (stderr, "%s\n", error.message);
-      return NULL;
-    }
-  struct tevent_context *ev = tevent_context_init (NULL);
-  KqHttpClient *http = kq_http_client_new (ev, ev, &error);
-  if (http != NULL)
-    kq_http_call (http, &params);
-  while (http != NULL && !reply.done)
-    tevent_loop_once (ev);
-  talloc_free (ev);
+  if (kq_ctl_call (server, &params, &reply.done) < 0)
+    return NULL;
   if (reply.json == NULL)
     fprintf (stderr, "%s did not answer; check --server, or ask another balancer\n", server);
   *status = reply.status;
--- a/src/process/ctl_streams.c
+++ b/src/process/ctl_streams.c
@@ -3,12 +3,9 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <talloc.h>
-#include <tevent.h>
 
 #include "kumquat/ctl.h"
 #include "kumquat/internal/ctl_impl.h"
-#include "kumquat/internal/http_client.h"
 
 #define METRICS_PATH "/metrics"
 #define TIMEOUT_US   (2 * KQ_SECOND) /* a process that answers later cannot serve either */
@@ -47,24 +44,13 @@
 fetch (const char *where)
 {
   Answer answer = { 0 };
-  KqError error = { 0 };
   KqHttpParams params = { .method = "GET",
                           .path = METRICS_PATH,
                           .timeout_us = TIMEOUT_US,
                           .done = on_done,
                           .data = &answer };
-  if (kq_address_parse (where, &params.address, &error) < 0)
-    {
-      fprintf (stderr, "%s\n", error.message);
-      return NULL;
-    }
-  struct tevent_context *ev = tevent_context_init (NULL);
-  KqHttpClient *http = kq_http_client_new (ev, ev, &error);
-  if (http != NULL)
-    kq_http_call (http, &params);
-  while (http != NULL && !answer.done)
-    tevent_loop_once (ev);
-  talloc_free (ev);
+  if (kq_ctl_call (where, &params, &answer.done) < 0)
+    return NULL;
   if (answer.text == NULL)
     fprintf (stderr, "%s did not answer; check the address, or look for the process's last line\n",
              where);
--- a/tests/integration/stream_path.py
+++ b/tests/integration/stream_path.py
@@ -153,16 +153,24 @@
     return f"{'all processes live' if alive else 'a process ended'}, {all_answered(ends)}"
 
 
-async def everything_killed(world):
-    """All processes are killed at once and start again: callers are served again."""
+def kill_all(world):
     for name in [*world.balancers, *world.agents]:
         world.processes[name].popen.send_signal(signal.SIGKILL)
     for name in [*world.balancers, *world.agents]:
         world.processes[name].popen.wait()
+
+
+def start_all(world):
     for name in world.balancers:
         world.start_balancer(name)
     for name in world.agents:
         world.start_agent(name)
+
+
+async def everything_killed(world):
+    """All processes are killed at once and start again: callers are served again."""
+    kill_all(world)
+    start_all(world)
     await world.until("balancers that know all targets",
                       lambda: all(world.knows_all(ip) for ip in world.balancers.values()))
     return all_answered(await ask_many(world, 60))
@@ -176,14 +184,8 @@
         await flow.open()
     for target in world.targets.values():
         target.crash()
-    for name in [*world.balancers, *world.agents]:
-        world.processes[name].popen.send_signal(signal.SIGKILL)
-    for name in [*world.balancers, *world.agents]:
-        world.processes[name].popen.wait()
-    for name in world.balancers:
-        world.start_balancer(name)
-    for name in world.agents:
-        world.start_agent(name)
+    kill_all(world)
+    start_all(world)
     await world.until("agents", lambda: all(world.is_up(a[0]) for a in world.agents.values()))
     for name in world.agents:
         world.start_target(name)
