--- a/include/kumquat/internal/program_parts.h
+++ b/include/kumquat/internal/program_parts.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "kumquat/control.h"
+#include "kumquat/service_document.h"
 #include "kumquat/settings.h"
 
 #define KQ_KEY_BYTES  32
@@ -53,3 +54,7 @@
 
 /** kq_program_copy_name - copies a name that settings have checked */
 void kq_program_copy_name (char out[KQ_NAME_BYTES], const char *name);
+
+/** kq_program_read_service - reads the document of a service that came from a peer or the store;
+ * one that cannot be read is logged. Return: 0, or -1 */
+int kq_program_read_service (const KqDocument *document, KqService *service);
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -125,14 +125,8 @@
 {
   KqAgent *agent = data;
   KqService service;
-  KqError error = { 0 };
-  char quoted[KQ_LOG_QUOTE_BYTES];
-  if (kq_service_parse (document->bytes, document->size, document->revision, &service, &error) < 0)
-    {
-      kq_log (LOG_ERR, "document-refused", "service=%u error=%s", document->service,
-              kq_log_quote (error.message, quoted));
-      return;
-    }
+  if (kq_program_read_service (document, &service) < 0)
+    return;
   if (strcmp (service.name, agent->params.service) != 0)
     return;
   if (agent->service.number != 0 && service.number != agent->service.number)
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -105,14 +105,8 @@
 {
   KqBalancer *balancer = data;
   KqService service;
-  KqError error = { 0 };
-  char quoted[KQ_LOG_QUOTE_BYTES];
-  if (kq_service_parse (document->bytes, document->size, document->revision, &service, &error) < 0)
-    {
-      kq_log (LOG_ERR, "document-refused", "service=%u error=%s", document->service,
-              kq_log_quote (error.message, quoted));
-      return;
-    }
+  if (kq_program_read_service (document, &service) < 0)
+    return;
   if (kq_service_catalog_store (balancer->catalog, &service) <= 0)
     return;
   kq_log (LOG_NOTICE, "service-in-force", "service=%s number=%u epoch=%u revision=%llu",
--- a/src/process/program_parts.c
+++ b/src/process/program_parts.c
@@ -4,6 +4,7 @@
 
 #include "kumquat/internal/clock.h"
 #include "kumquat/internal/program_parts.h"
+#include "kumquat/log.h"
 
 int
 kq_program_parse_key (const char *text, uint8_t key[KQ_KEY_BYTES])
@@ -73,3 +74,15 @@
   params->budget_bytes_per_s =
       (unsigned)kq_settings_integer (settings, "control.budget_bytes_per_s");
 }
+
+int
+kq_program_read_service (const KqDocument *document, KqService *service)
+{
+  KqError error = { 0 };
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  if (kq_service_parse (document->bytes, document->size, document->revision, service, &error) == 0)
+    return 0;
+  kq_log (LOG_ERR, "document-refused", "service=%u error=%s", document->service,
+          kq_log_quote (error.message, quoted));
+  return -1;
+}
--- /dev/null
+++ b/tests/unit/test_stream_search.c
@@ -0,0 +1,245 @@
+/* How a balancer finds the holder of a stream that it does not know, and what it does when there is
+ * none. */
+
+#include "stream_fixture.h"
+
+static void
+test_search_finds_holder (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, 0);
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_FIND), AGENTS);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, 1);
+  uint32_t question = last (fixture)->attempt;
+  agent_answers (fixture, 100, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, question, 1, KQ_MS);
+  agent_answers (fixture, 102, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, question, 1, KQ_MS);
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_CARRY), 2);
+  CU_ASSERT_EQUAL (last (fixture)->agent, 102);
+  agent_answers (fixture, 101, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, question, 1, 2 * KQ_MS);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, 3 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_CARRY);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  talloc_free (fixture);
+}
+
+/* Regression: inc-8e85, second 21. A balancer took over a stream 66 ms after its start, knew no
+ * agent yet and gave up at once. */
+static void
+test_search_waits_for_agents (void)
+{
+  Fixture *fixture = set_up (0);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, 0);
+  kq_stream_router_tick (fixture->router, 20 * KQ_MS);
+  fixture->members[0] =
+      (KqMember){ .role = KQ_ROLE_AGENT, .phase = KQ_PHASE_SERVING, .service = SERVICE };
+  fixture->members[0].peer.id = 100;
+  kq_stream_router_set_members (fixture->router, fixture->members, 1);
+  kq_stream_router_tick (fixture->router, 40 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_FIND);
+  agent_answers (fixture, 100, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, 0, 1, 41 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_CARRY);
+  talloc_free (fixture);
+}
+
+/* After a restart of agents, the segment goes to all that cannot tell; one target keeps it. */
+static void
+test_probe_of_young_agents (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, 0);
+  uint32_t question = last (fixture)->attempt;
+  for (unsigned i = 0; i < AGENTS; i++)
+    agent_answers (fixture, 100 + i, KQ_FRAME_MAYBE, KQ_REFUSAL_NONE, question, 1, KQ_MS);
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_PROBE), AGENTS);
+  question = last (fixture)->attempt;
+  agent_answers (fixture, 100, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, question, 1, 2 * KQ_MS);
+  agent_answers (fixture, 101, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, question, 1, 2 * KQ_MS);
+  kq_stream_router_tick (fixture->router, KQ_SECOND);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, KQ_SECOND);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_CARRY);
+  CU_ASSERT_EQUAL (last (fixture)->agent, 102);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  talloc_free (fixture);
+}
+
+static void
+caller_asks (Fixture *fixture, uint16_t port, unsigned flags, KqTime now)
+{
+  KqSegment segment = segment_of (port, flags);
+  segment.payload_size = 100;
+  kq_stream_router_segment (fixture->router, &segment, now);
+}
+
+/* The first @count agents answer the last question: they do not hold the stream. */
+static void
+nobody_holds (Fixture *fixture, unsigned count, uint16_t port, KqTime now)
+{
+  uint32_t question = last (fixture)->attempt;
+  for (unsigned i = 0; i < count; i++)
+    agent_answers (fixture, 100 + i, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, question, port, now);
+}
+
+/* Nobody says that it holds the stream; an agent that is cut off may. */
+static void
+test_unknown_stream_is_not_reset (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  kq_stream_router_set_complete (fixture->router, true);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 0);
+  nobody_holds (fixture, AGENTS - 1, 1, KQ_MS);
+  kq_stream_router_tick (fixture->router, KQ_SECOND);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  kq_stream_router_set_complete (fixture->router, false);
+  caller_asks (fixture, 2, KQ_SEGMENT_ACK, KQ_SECOND);
+  nobody_holds (fixture, AGENTS, 2, KQ_SECOND);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  talloc_free (fixture);
+}
+
+/* Regression: tibeb-arena trouble-2. All machines lost power, and 470 callers of open streams
+ * waited for 3 s, since nobody told them that their targets had lost the streams. */
+static void
+test_caller_of_a_stream_that_nobody_holds_is_told (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  kq_stream_router_set_complete (fixture->router, true);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 0);
+  nobody_holds (fixture, AGENTS, 1, KQ_MS);
+  CU_ASSERT_EQUAL (fixture->resets, 1);
+  talloc_free (fixture);
+}
+
+/* The caller need not repeat its segment: it is told when the last agent is back. */
+static void
+test_lost_stream_is_searched_again (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 0);
+  nobody_holds (fixture, AGENTS, 1, KQ_MS);
+  kq_stream_router_tick (fixture->router, 350 * KQ_MS);
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_FIND), AGENTS);
+  kq_stream_router_set_complete (fixture->router, true);
+  kq_stream_router_tick (fixture->router, 700 * KQ_MS);
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_FIND), 2 * AGENTS);
+  nobody_holds (fixture, AGENTS, 1, 701 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->resets, 1);
+  talloc_free (fixture);
+}
+
+/* What was held when the holder comes back goes to it. */
+static void
+test_lost_stream_is_found_again (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 0);
+  nobody_holds (fixture, AGENTS, 1, KQ_MS);
+  kq_stream_router_set_members (fixture->router, fixture->members, AGENTS);
+  kq_stream_router_tick (fixture->router, 350 * KQ_MS);
+  agent_answers (fixture, 101, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, last (fixture)->attempt, 1,
+                 351 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_CARRY);
+  CU_ASSERT_EQUAL (last (fixture)->agent, 101);
+  talloc_free (fixture);
+}
+
+/* A caller that waits for nothing is not disturbed, and its stream is forgotten. */
+static void
+test_caller_that_does_not_wait_is_not_told (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  kq_stream_router_set_complete (fixture->router, true);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, 0);
+  nobody_holds (fixture, AGENTS, 1, KQ_MS);
+  caller_asks (fixture, 2, KQ_SEGMENT_ACK | KQ_SEGMENT_FIN, 0);
+  nobody_holds (fixture, AGENTS, 2, KQ_MS);
+  for (KqTime now = 0; now < 3 * KQ_SECOND; now += 100 * KQ_MS)
+    kq_stream_router_tick (fixture->router, now);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  CU_ASSERT_EQUAL (kq_stream_router_stats (fixture->router).streams, 0);
+  talloc_free (fixture);
+}
+
+/* An answer to an earlier question is not taken for an agent that has not answered this one. */
+static void
+test_late_answers_count_for_their_question (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  kq_stream_router_set_complete (fixture->router, true);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 0);
+  uint32_t first = last (fixture)->attempt;
+  kq_stream_router_tick (fixture->router, 100 * KQ_MS);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 400 * KQ_MS);
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_FIND), 2 * AGENTS);
+  agent_answers (fixture, 100, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, first, 1, 401 * KQ_MS);
+  nobody_holds (fixture, AGENTS - 1, 1, 402 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  agent_answers (fixture, 102, KQ_FRAME_HOLDS, KQ_REFUSAL_NONE, 0, 1, 403 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_CARRY);
+  talloc_free (fixture);
+}
+
+/* All agents of a large service were restarted: the segment must reach the holder among them. */
+static void
+test_all_young_agents_are_probed (void)
+{
+  Fixture *fixture = set_up (MANY);
+  kq_stream_router_set_complete (fixture->router, true);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 0);
+  uint32_t question = last (fixture)->attempt;
+  for (unsigned i = 0; i < MANY; i++)
+    agent_answers (fixture, 100 + i, KQ_FRAME_MAYBE, KQ_REFUSAL_NONE, question, 1, KQ_MS);
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_PROBE), MANY);
+  nobody_holds (fixture, MANY - 1, 1, 2 * KQ_MS);
+  kq_stream_router_tick (fixture->router, 200 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 300 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->agent, 100 + MANY - 1);
+  talloc_free (fixture);
+}
+
+/* All targets were restarted with them: none keeps the segment, and the caller is told. */
+static void
+test_no_young_agent_holds (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  kq_stream_router_set_complete (fixture->router, true);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 0);
+  uint32_t question = last (fixture)->attempt;
+  for (unsigned i = 0; i < AGENTS; i++)
+    agent_answers (fixture, 100 + i, KQ_FRAME_MAYBE, KQ_REFUSAL_NONE, question, 1, KQ_MS);
+  nobody_holds (fixture, AGENTS, 1, 2 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->resets, 1);
+  talloc_free (fixture);
+}
+
+static void
+test_gone_target_resets_caller (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  uint64_t agent = open_stream (fixture, 1, 0);
+  agent_answers (fixture, agent, KQ_FRAME_DECLINED, KQ_REFUSAL_BOUNCED, 0, 1, KQ_SECOND);
+  nobody_holds (fixture, AGENTS, 1, KQ_SECOND + 1);
+  CU_ASSERT_EQUAL (fixture->resets, 1);
+  talloc_free (fixture);
+}
+
+int
+main (void)
+{
+  static const KqUnitTest tests[] = {
+    { "the holder of an unknown stream is found", test_search_finds_holder },
+    { "a search waits for the first agent", test_search_waits_for_agents },
+    { "young agents' targets are asked", test_probe_of_young_agents },
+    { "an unknown stream is not reset", test_unknown_stream_is_not_reset },
+    { "the caller of a stream that nobody holds is told",
+      test_caller_of_a_stream_that_nobody_holds_is_told },
+    { "a lost stream is searched again", test_lost_stream_is_searched_again },
+    { "a lost stream is found again", test_lost_stream_is_found_again },
+    { "a caller that does not wait is not told", test_caller_that_does_not_wait_is_not_told },
+    { "late answers count for their question", test_late_answers_count_for_their_question },
+    { "all young agents are probed", test_all_young_agents_are_probed },
+    { "no young agent holds the stream", test_no_young_agent_holds },
+    { "the caller of a gone target is told", test_gone_target_resets_caller },
+  };
+  return kq_unit_run ("stream search", tests, sizeof tests / sizeof tests[0]);
+}
