--- a/include/kumquat/internal/group.h
+++ b/include/kumquat/internal/group.h
@@ -112,6 +112,10 @@
 /** kq_group_members - Return: how many live members were written to @out, ordered by id */
 unsigned kq_group_members (const KqGroup *group, KqMember *out, unsigned capacity);
 unsigned kq_group_live (const KqGroup *group);
+
+/** kq_group_ended - Return: (owned by @parent) ids of the @count agents that left and said that
+ * their target had ended, or NULL without memory */
+uint64_t *kq_group_ended (const void *parent, const KqGroup *group, unsigned *count);
 KqMember kq_group_self (const KqGroup *group);
 
 /** kq_group_state_of - Return: the state this instance believes; KQ_MEMBER_LEFT for a stranger */
--- a/include/kumquat/internal/stream_router.h
+++ b/include/kumquat/internal/stream_router.h
@@ -2,6 +2,7 @@
  * one that is open. It sees what callers send and what agents answer, never what targets send. */
 #pragma once
 
+#include "kumquat/internal/agent_roll.h"
 #include "kumquat/internal/route_table.h"
 #include "kumquat/internal/stream_targets.h"
 
@@ -36,6 +37,10 @@
  * @found: streams whose holder was found by asking
  * @lost: streams that nobody held any more
  * @searches: streams whose holder was asked for
+ * @questions: agents asked whether they hold a stream
+ * @late: rounds of questions that were not answered in time
+ * @queued: gauge: streams whose search waits
+ * @search_limit: gauge: searches that may run at once
  * @streams: gauge: streams known
  */
 typedef struct
@@ -52,13 +57,20 @@
   uint64_t found;
   uint64_t lost;
   uint64_t searches;
+  uint64_t questions;
+  uint64_t late;
+  uint64_t queued;
+  uint64_t search_limit;
   uint64_t streams;
 } KqStreamRouterStats;
 
-/** kq_stream_router_new - Return: (owned by @parent) a router without routes, or NULL without
- * memory */
+/**
+ * kq_stream_router_new - Return: (owned by @parent) a router without routes, or NULL without memory
+ * @roll: (borrowed): which agents may hold a stream; it takes the members before the router does
+ */
 KqStreamRouter *kq_stream_router_new (const void *parent, const char *failure_domain,
-                                      const KqStreamRouterOps *ops, void *data);
+                                      const KqAgentRoll *roll, const KqStreamRouterOps *ops,
+                                      void *data);
 
 /** kq_stream_router_set_routes - takes a newer configuration; it is owned by the router then.
  * Return: whether it was newer */
@@ -74,10 +86,6 @@
 /** kq_stream_router_set_members - takes the members as now believed */
 void kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count);
 
-/** kq_stream_router_set_complete - says whether every agent that may hold an open stream is among
- * the members, see kq_agent_roll_complete(); only then is a stream that nobody holds reset */
-void kq_stream_router_set_complete (KqStreamRouter *router, bool complete);
-
 /** kq_stream_router_segment - decides about a segment of a caller */
 void kq_stream_router_segment (KqStreamRouter *router, const KqSegment *segment, KqTime now);
 
--- a/include/kumquat/internal/stream_state.h
+++ b/include/kumquat/internal/stream_state.h
@@ -1,14 +1,19 @@
 /* The state of a stream router, shared by the files that implement it. Calls go one way:
  * stream_router.c decides what a segment or an answer means and calls stream_offer.c for streams
- * that open and stream_search.c for those whose holder is unknown; all use stream_entry.c. */
+ * that open and stream_search.c for those whose holder is unknown; all use stream_entry.c, which
+ * ends the search of a stream that is settled, refused or freed. */
 #pragma once
 
 #include <sys/queue.h>
 
 #include "kumquat/internal/hash_index.h"
+#include "kumquat/internal/search_budget.h"
 #include "kumquat/internal/stream_router.h"
 
 #define KQ_STREAM_TRIED_MAX 8
+#define KQ_SEARCH_ROUND                                                                            \
+  KQ_ROLL_RANKS /* agents asked at once: with a fleet at rest, all of them                         \
+                 */
 #define KQ_STREAM_WAITING_MAX                                                                      \
   4 /* segments kept while a holder is searched; callers repeat the rest */
 
@@ -16,6 +21,7 @@
  * enum KqStreamState - what a balancer knows of a stream
  * @KQ_STREAM_OPENING: offered to an agent, or waits for one to appear
  * @KQ_STREAM_OPEN: held by an agent
+ * @KQ_STREAM_QUEUED: its search waits until fewer others run
  * @KQ_STREAM_SEARCHING: agents were asked whether they hold it
  * @KQ_STREAM_PROBING: a segment went to the agents that cannot tell
  * @KQ_STREAM_LOST: nobody said that it holds it, and an agent that may is missing
@@ -25,6 +31,7 @@
 {
   KQ_STREAM_OPENING,
   KQ_STREAM_OPEN,
+  KQ_STREAM_QUEUED,
   KQ_STREAM_SEARCHING,
   KQ_STREAM_PROBING,
   KQ_STREAM_LOST,
@@ -45,7 +52,7 @@
  * struct KqStream - one stream of a caller
  * @link: in the index
  * @by_use: in the list of all streams, the one used longest ago first
- * @by_due: in the list of those that wait for something
+ * @by_due: in the list of those that wait for something, or of those that are queued
  * @key: what it is known by
  * @state: see KqStreamState
  * @waits: it is in the list of those that wait
@@ -67,12 +74,14 @@
  * @acknowledged: last acknowledgement of the caller, for a reset in its window
  * @caller_waits: the caller has sent data that nobody took yet
  * @searched_at: when the last search began
- * @searched_version: what was known of the agents then, see KqStreamRouter
- * @asked: agents that the last search asked
- * @unanswered: agents that were asked or probed and have not answered
- * @answers_missing: some agents of the last search have never answered
- * @maybe: (array) (owned): agents that cannot tell whether they hold it; there is room for all
- * asked
+ * @searched_version: version of the roll then
+ * @counted: its search counts as running
+ * @candidates: agents that may hold it; ids is owned
+ * @asked: how many of them were asked
+ * @unanswered: agents that were asked or probed in this round and have not answered
+ * @answers_missing: an agent of the last search has not answered
+ * @nobody: it is certain that nobody holds it
+ * @maybe: (array): agents of this round that cannot tell whether they hold it
  * @maybe_count: length of @maybe
  * @held: segments that wait
  * @held_count: how many
@@ -104,10 +113,13 @@
   bool caller_waits;
   KqTime searched_at;
   unsigned searched_version;
+  bool counted;
+  KqRollCandidates candidates;
   unsigned asked;
   unsigned unanswered;
   bool answers_missing;
-  uint64_t *maybe;
+  bool nobody;
+  uint64_t maybe[KQ_SEARCH_ROUND];
   unsigned maybe_count;
   STAILQ_HEAD (, KqHeldSegment) held;
   unsigned held_count;
@@ -117,7 +129,8 @@
 
 /**
  * struct KqStreamRouter - what a balancer knows; see the calls that set it
- * @agents_version: counts what was learnt of the agents
+ * @roll: (borrowed): which agents may hold a stream
+ * @queued: streams whose search waits
  */
 struct KqStreamRouter
 {
@@ -126,11 +139,12 @@
   KqRouteTable *routes;
   bool routes_trusted;
   KqStreamTargets *targets;
-  bool agents_complete;
-  unsigned agents_version;
+  const KqAgentRoll *roll;
+  KqSearchBudget search_budget;
   KqHashIndex index;
   struct KqStreamList by_use;
   struct KqStreamList by_due;
+  struct KqStreamList queued;
   uint32_t last_attempt;
   KqTime next_expiry;
   KqStreamRouterStats stats;
@@ -148,6 +162,9 @@
 void kq_stream_log (KqStreamRouter *router, int level, const char *event, const KqStream *stream,
                     const char *format, ...) __attribute__ ((format (printf, 5, 6)));
 
+/** kq_stream_search_end - the search of @stream does not run or wait any more, whatever it found */
+void kq_stream_search_end (KqStreamRouter *router, KqStream *stream);
+
 /** kq_stream_send - sends a frame about @stream to @target, with @bytes of a segment or NULL */
 void kq_stream_send (KqStreamRouter *router, KqStream *stream, const KqStreamTarget *target,
                      KqStreamFrameType type, const uint8_t *bytes, size_t size);
@@ -171,6 +188,9 @@
                               KqTime now);
 void kq_stream_search_late (KqStreamRouter *router, KqStream *stream, KqTime now);
 
+/** kq_stream_search_queued - starts searches that waited, as far as the budget goes */
+void kq_stream_search_queued (KqStreamRouter *router, KqTime now);
+
 /** kq_stream_search_again - a lost stream is searched again when more is known of the agents, or
  * forgotten */
 void kq_stream_search_again (KqStreamRouter *router, KqStream *stream, KqTime now);
--- a/include/kumquat/internal/stream_targets.h
+++ b/include/kumquat/internal/stream_targets.h
@@ -4,8 +4,6 @@
 #include "kumquat/internal/stream_frame.h"
 #include "kumquat/view.h"
 
-#define KQ_STREAM_CANDIDATES_MAX 8
-
 typedef struct KqStreamTargets KqStreamTargets;
 
 /**
@@ -42,13 +40,12 @@
 /** kq_stream_targets_find - Return: (borrowed until the next set) the target, or NULL */
 KqStreamTarget *kq_stream_targets_find (const KqStreamTargets *targets, uint64_t id);
 
-/** kq_stream_targets_all - Return: (borrowed until the next set) the targets in no order */
-KqStreamTarget *kq_stream_targets_all (const KqStreamTargets *targets, unsigned *count);
-
 /**
  * kq_stream_targets_choose - chooses the agent to offer a new stream to
- * @hash: of the stream's key; names the candidates of the service by rendezvous hashing
+ * @drawn: (array): ids of the stream's candidates, see kq_agent_roll_draw()
+ * @drawn_count: length of @drawn
  * @tried: (array): ids of agents that are not asked again
+ * @tried_count: length of @tried
  *
  * Of the candidates that serve and answer, the one whose next request ends soonest by its last
  * report; an agent of another failure domain counts as slower by the price of the way. Agents that
@@ -57,8 +54,8 @@
  * Return: (borrowed until the next set) the agent, or NULL when all were tried.
  */
 KqStreamTarget *kq_stream_targets_choose (const KqStreamTargets *targets, uint32_t service,
-                                          uint64_t hash, const uint64_t *tried,
-                                          unsigned tried_count, KqTime now);
+                                          const uint64_t *drawn, unsigned drawn_count,
+                                          const uint64_t *tried, unsigned tried_count, KqTime now);
 
 /** kq_stream_target_answered - takes the load that an answer carries */
 void kq_stream_target_answered (KqStreamTarget *target, const KqTargetLoad *load, KqTime now);
--- a/src/connection/stream_entry.c
+++ b/src/connection/stream_entry.c
@@ -50,9 +50,24 @@
   stream->held_count = 0;
 }
 
+void
+kq_stream_search_end (KqStreamRouter *router, KqStream *stream)
+{
+  if (stream->state == KQ_STREAM_QUEUED)
+    {
+      TAILQ_REMOVE (&router->queued, stream, by_due);
+      router->stats.queued--;
+      stream->state = KQ_STREAM_LOST;
+    }
+  if (stream->counted)
+    kq_search_budget_end (&router->search_budget);
+  stream->counted = false;
+}
+
 void
 kq_stream_free (KqStreamRouter *router, KqStream *stream)
 {
+  kq_stream_search_end (router, stream);
   kq_stream_stop_waiting (router, stream);
   kq_hash_index_remove (&router->index, &stream->link);
   TAILQ_REMOVE (&router->by_use, stream, by_use);
@@ -140,6 +155,7 @@
 kq_stream_refuse (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
   router->ops.reset (&stream->key, stream->acknowledged, router->data);
+  kq_stream_search_end (router, stream);
   stream->state = KQ_STREAM_REFUSED;
   kq_stream_drop_held (stream);
   kq_stream_wait_until (router, stream, now + REFUSED_US);
@@ -148,6 +164,7 @@
 void
 kq_stream_settle (KqStreamRouter *router, KqStream *stream, KqStreamTarget *owner)
 {
+  kq_stream_search_end (router, stream);
   stream->state = KQ_STREAM_OPEN;
   stream->owner = owner->peer.id;
   stream->gone = false;
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -11,8 +11,8 @@
                    */
 
 KqStreamRouter *
-kq_stream_router_new (const void *parent, const char *failure_domain, const KqStreamRouterOps *ops,
-                      void *data)
+kq_stream_router_new (const void *parent, const char *failure_domain, const KqAgentRoll *roll,
+                      const KqStreamRouterOps *ops, void *data)
 {
   KqStreamRouter *router = talloc_zero (parent, KqStreamRouter);
   if (router == NULL)
@@ -21,6 +21,9 @@
   router->data = data;
   TAILQ_INIT (&router->by_use);
   TAILQ_INIT (&router->by_due);
+  TAILQ_INIT (&router->queued);
+  router->roll = roll;
+  kq_search_budget_init (&router->search_budget);
   router->targets = kq_stream_targets_new (router, failure_domain);
   if (router->targets == NULL || kq_hash_index_init (&router->index, router) < 0)
     {
@@ -59,14 +62,6 @@
 kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count)
 {
   kq_stream_targets_set (router->targets, members, count);
-  router->agents_version++;
-}
-
-void
-kq_stream_router_set_complete (KqStreamRouter *router, bool complete)
-{
-  router->agents_version += complete != router->agents_complete;
-  router->agents_complete = complete;
 }
 
 /* A stream without a route that is not sure to be missing only waits for the caller's copies. */
@@ -184,6 +179,7 @@
     case KQ_STREAM_OPEN:
       carry (router, stream, segment, now);
       break;
+    case KQ_STREAM_QUEUED:
     case KQ_STREAM_SEARCHING:
     case KQ_STREAM_PROBING:
       wait_for_holder (stream, segment);
@@ -266,6 +262,7 @@
       if (frame->attempt == stream->attempt)
         kq_stream_search_answer (router, stream, frame, now);
       break;
+    case KQ_STREAM_QUEUED:
     case KQ_STREAM_LOST:
     case KQ_STREAM_REFUSED:
       break;
@@ -300,6 +297,7 @@
     take_maybe (router, stream, frame, now);
   else
     router->stats.malformed++;
+  kq_stream_search_queued (router, now);
 }
 
 KqTime
@@ -321,7 +319,8 @@
       next = TAILQ_NEXT (stream, by_use);
       if (now - stream->used_at < CLOSING_US)
         break;
-      if (!stream->waits && (stream->closing || now - stream->used_at >= idle))
+      if (!stream->waits && stream->state != KQ_STREAM_QUEUED &&
+          (stream->closing || now - stream->used_at >= idle))
         kq_stream_free (router, stream);
     }
 }
@@ -346,6 +345,7 @@
       kq_stream_free (router, stream);
       break;
     case KQ_STREAM_OPEN:
+    case KQ_STREAM_QUEUED:
       break;
     }
 }
@@ -359,6 +359,7 @@
       take_due (router, stream, now);
       stream = TAILQ_FIRST (&router->by_due);
     }
+  kq_stream_search_queued (router, now);
   if (now < router->next_expiry)
     return;
   router->next_expiry = now + EXPIRE_EVERY;
@@ -368,5 +369,7 @@
 KqStreamRouterStats
 kq_stream_router_stats (const KqStreamRouter *router)
 {
-  return router->stats;
+  KqStreamRouterStats stats = router->stats;
+  stats.search_limit = router->search_budget.limit;
+  return stats;
 }
--- a/src/connection/stream_search.c
+++ b/src/connection/stream_search.c
@@ -1,14 +1,14 @@
 /* A segment of a stream that this balancer does not know comes after another balancer ended, or
- * after the fabric moved the stream. All agents that can hold it are asked; the holder answers. An
- * agent that started beside a target that was running before cannot tell: the segment itself goes
- * to all of these, and each target that does not hold the stream returns it. So an open stream
- * costs a round trip, and no target gets segments of others for longer than one.
+ * after the fabric moved the stream. The agents that may hold it, see agent_roll.h, are asked in
+ * rounds; the holder answers. An agent that started beside a target that was running before cannot
+ * tell: the segment itself goes to all of these, and each target that does not hold the stream
+ * returns it. So an open stream costs a round trip, and no target gets segments of others for
+ * longer than one. Segments that the caller repeats meanwhile join the search.
  *
  * When nobody holds the stream, its caller is told, so that it does not wait until its deadline:
  * after a loss of power these are all open streams. That must never hit a stream that lives. So
- * every agent must have answered this very question, and no agent may be missing that has lived
- * within the lifetime of a stream; otherwise the stream is lost, and searched again when more is
- * known of the agents. */
+ * every agent that may hold it must have answered this very question, and none of them may be
+ * missing; otherwise the stream is lost, and searched again when more is known of the agents. */
 
 #include <syslog.h>
 
@@ -22,70 +22,125 @@
 #define LOST_US   (300 * KQ_MS)  /* pause before a stream without a holder is searched again */
 #define REPEAT_US (1700 * KQ_MS) /* a caller repeats a segment after 1.6 s at the latest */
 
-static bool
-may_hold (const KqStreamRouter *router, const KqStream *stream, const KqStreamTarget *target)
+/* Return: services written to @services that the stream may be of; 0 when nothing is known. */
+static unsigned
+services_of (const KqStreamRouter *router, const KqStream *stream,
+             uint32_t services[KQ_ROUTE_SERVICES_MAX])
 {
   const KqStreamRoute *route =
       router->routes == NULL ? NULL : kq_route_table_find (router->routes, &stream->key);
   if (route == NULL)
-    return true;
+    return 0;
   for (unsigned i = 0; i < route->service_count; i++)
-    if (route->services[i].number == target->service)
-      return true;
-  return false;
+    services[i] = route->services[i].number;
+  return route->service_count;
 }
 
 static bool
-nobody_holds (const KqStreamRouter *router, const KqStream *stream)
+nobody_holds (const KqStream *stream)
 {
-  return router->agents_complete && stream->asked > 0 && !stream->answers_missing &&
-         stream->maybe_count == 0;
+  return stream->candidates.known && stream->candidates.missing == 0 && stream->asked > 0 &&
+         !stream->answers_missing;
 }
 
 static void
 give_up (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
-  bool certain = stream->gone || nobody_holds (router, stream);
+  bool certain = stream->gone || nobody_holds (stream);
+  bool tell = certain && (stream->gone || stream->caller_waits);
   router->stats.lost++;
   kq_stream_log (router, LOG_INFO, "stream-lost", stream,
-                 "target_gone=%s agents=%s asked=%u told=%s age_ms=%lld",
-                 stream->gone ? "yes" : "unknown", router->agents_complete ? "all" : "missing",
-                 stream->asked, certain && (stream->gone || stream->caller_waits) ? "yes" : "no",
-                 (long long)((now - stream->first_at) / KQ_MS));
-  if (certain && (stream->gone || stream->caller_waits))
+                 "target_gone=%s agents=%s missing=%u unanswered=%s asked=%u told=%s age_ms=%lld",
+                 stream->gone ? "yes" : "unknown", stream->candidates.known ? "known" : "unknown",
+                 stream->candidates.missing, stream->answers_missing ? "yes" : "no", stream->asked,
+                 tell ? "yes" : "no", (long long)((now - stream->first_at) / KQ_MS));
+  if (tell)
     {
       kq_stream_refuse (router, stream, now);
       return;
     }
+  kq_stream_search_end (router, stream);
+  stream->nobody = certain;
   stream->state = KQ_STREAM_LOST;
   kq_stream_wait_until (router, stream, now + LOST_US);
 }
 
-void
-kq_stream_search (KqStreamRouter *router, KqStream *stream, KqTime now)
+/* Asks the next candidates. */
+static void
+ask (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
-  unsigned count;
-  KqStreamTarget *targets = kq_stream_targets_all (router->targets, &count);
+  const KqRollCandidates *candidates = &stream->candidates;
+  unsigned end = stream->asked + KQ_SEARCH_ROUND;
   stream->state = KQ_STREAM_SEARCHING;
   stream->attempt = ++router->last_attempt;
-  stream->searched_at = now;
-  stream->searched_version = router->agents_version;
   stream->unanswered = 0;
-  stream->answers_missing = false;
   stream->maybe_count = 0;
-  stream->maybe = talloc_realloc (stream, stream->maybe, uint64_t, count + 1);
-  router->stats.searches++;
-  for (unsigned i = 0; i < count; i++)
+  for (; stream->asked < candidates->count && stream->asked < end; stream->asked++)
     {
-      if (!may_hold (router, stream, &targets[i]))
-        continue;
+      const KqStreamTarget *target =
+          kq_stream_targets_find (router->targets, candidates->ids[stream->asked]);
+      if (target == NULL)
+        {
+          stream->answers_missing = true;
+          continue;
+        }
       stream->unanswered++;
-      kq_stream_send (router, stream, &targets[i], KQ_FRAME_FIND, NULL, 0);
+      router->stats.questions++;
+      kq_stream_send (router, stream, target, KQ_FRAME_FIND, NULL, 0);
     }
-  stream->asked = stream->unanswered;
   kq_stream_wait_until (router, stream, now + (stream->asked > 0 ? ANSWERS_US : RETRY_US));
 }
 
+static void
+start (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  uint32_t services[KQ_ROUTE_SERVICES_MAX];
+  unsigned count = services_of (router, stream, services);
+  talloc_free (stream->candidates.ids);
+  stream->candidates = kq_agent_roll_candidates (stream, router->roll, services, count,
+                                                 kq_stream_key_hash (&stream->key), now);
+  stream->searched_at = now;
+  stream->searched_version = kq_agent_roll_version (router->roll);
+  stream->asked = 0;
+  stream->answers_missing = false;
+  stream->counted = true;
+  router->stats.searches++;
+  ask (router, stream, now);
+}
+
+void
+kq_stream_search (KqStreamRouter *router, KqStream *stream, KqTime now)
+{
+  kq_stream_search_end (router, stream);
+  if (kq_search_budget_start (&router->search_budget))
+    {
+      start (router, stream, now);
+      return;
+    }
+  kq_stream_stop_waiting (router, stream);
+  stream->state = KQ_STREAM_QUEUED;
+  TAILQ_INSERT_TAIL (&router->queued, stream, by_due);
+  router->stats.queued++;
+}
+
+void
+kq_stream_search_queued (KqStreamRouter *router, KqTime now)
+{
+  KqStream *stream;
+  while ((stream = TAILQ_FIRST (&router->queued)) != NULL)
+    {
+      if (now - stream->used_at >= REPEAT_US)
+        {
+          kq_stream_free (router, stream);
+          continue;
+        }
+      if (!kq_search_budget_start (&router->search_budget))
+        return;
+      kq_stream_search_end (router, stream);
+      start (router, stream, now);
+    }
+}
+
 static void
 probe (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
@@ -93,7 +148,7 @@
   stream->state = KQ_STREAM_PROBING;
   stream->attempt = ++router->last_attempt;
   stream->unanswered = 0;
-  for (unsigned i = 0; held != NULL && stream->maybe != NULL && i < stream->maybe_count; i++)
+  for (unsigned i = 0; held != NULL && i < stream->maybe_count; i++)
     {
       KqStreamTarget *target = kq_stream_targets_find (router->targets, stream->maybe[i]);
       if (target == NULL)
@@ -107,7 +162,7 @@
 static void
 note_maybe (KqStream *stream, uint64_t agent)
 {
-  if (stream->maybe != NULL && stream->maybe_count < stream->asked)
+  if (stream->maybe_count < KQ_SEARCH_ROUND)
     stream->maybe[stream->maybe_count++] = agent;
   else
     stream->answers_missing = true;
@@ -124,31 +179,41 @@
       }
 }
 
-/* All answers are in, or late. */
+/* All others returned the segment, and this target kept it. */
+static void
+settle_last (KqStreamRouter *router, KqStream *stream, KqStreamTarget *last)
+{
+  KqHeldSegment *first = STAILQ_FIRST (&stream->held);
+  router->stats.found++;
+  if (first != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&stream->held, link);
+      stream->held_count--;
+      talloc_free (first);
+    }
+  kq_stream_settle (router, stream, last);
+}
+
+/* All answers of a round are in, or late. */
 static void
 conclude (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
   KqStreamTarget *last = NULL;
   stream->answers_missing |= stream->unanswered > 0;
-  if (stream->maybe_count == 1 && stream->maybe != NULL)
+  if (stream->maybe_count == 1)
     last = kq_stream_targets_find (router->targets, stream->maybe[0]);
   if (stream->state == KQ_STREAM_SEARCHING && stream->maybe_count > 0 && stream->held_count > 0)
     probe (router, stream, now);
   else if (stream->state == KQ_STREAM_PROBING && last != NULL)
+    settle_last (router, stream, last);
+  else
     {
-      /* All others returned the segment, and this target kept it. */
-      router->stats.found++;
-      KqHeldSegment *first = STAILQ_FIRST (&stream->held);
-      if (first != NULL)
-        {
-          STAILQ_REMOVE_HEAD (&stream->held, link);
-          stream->held_count--;
-          talloc_free (first);
-        }
-      kq_stream_settle (router, stream, last);
+      stream->answers_missing |= stream->maybe_count > 0;
+      if (stream->asked < stream->candidates.count)
+        ask (router, stream, now);
+      else
+        give_up (router, stream, now);
     }
-  else
-    give_up (router, stream, now);
 }
 
 void
@@ -163,13 +228,30 @@
     stream->answers_missing = true;
   if (stream->unanswered > 0)
     stream->unanswered--;
-  if (stream->unanswered == 0)
-    conclude (router, stream, now);
+  if (stream->unanswered > 0)
+    return;
+  kq_search_budget_answered (&router->search_budget);
+  conclude (router, stream, now);
+}
+
+/* A few agents that do not answer are likely to be gone; when most are late, the way is full. */
+static void
+note_late (KqStreamRouter *router, const KqStream *stream, KqTime now)
+{
+  unsigned round = stream->state == KQ_STREAM_SEARCHING ? stream->asked % KQ_SEARCH_ROUND : 0;
+  if (round == 0)
+    round = stream->asked < KQ_SEARCH_ROUND ? stream->asked : KQ_SEARCH_ROUND;
+  if (2 * stream->unanswered <= round)
+    return;
+  router->stats.late++;
+  kq_search_budget_late (&router->search_budget, now);
 }
 
 void
 kq_stream_search_late (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
+  if (stream->state == KQ_STREAM_SEARCHING)
+    note_late (router, stream, now);
   if (stream->asked == 0 && now - stream->first_at < NOBODY_US)
     kq_stream_search (router, stream, now);
   else
@@ -179,9 +261,15 @@
 void
 kq_stream_search_again (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
-  bool more_known = stream->searched_version != router->agents_version;
+  /* A caller that ends its stream repeats that for seconds; the answer stays the same. */
+  if (stream->nobody && stream->caller_waits)
+    {
+      kq_stream_refuse (router, stream, now);
+      return;
+    }
+  bool more_known = stream->searched_version != kq_agent_roll_version (router->roll);
   bool repeated = stream->used_at > stream->searched_at;
-  if (now - stream->searched_at >= LOST_US && (more_known || repeated))
+  if (!stream->nobody && now - stream->searched_at >= LOST_US && (more_known || repeated))
     kq_stream_search (router, stream, now);
   else if (now - stream->used_at >= REPEAT_US)
     kq_stream_free (router, stream);
--- a/src/connection/stream_targets.c
+++ b/src/connection/stream_targets.c
@@ -1,9 +1,9 @@
-/* A new stream's candidates are the first KQ_STREAM_CANDIDATES_MAX agents of its service by
- * rendezvous hashing, so that any balancer finds the holder of a stream among few. Among them the
- * balancer prefers the one where the next request ends soonest. Its knowledge is what the agents
- * said in their answers, so it is old by the time between two offers; the agent itself decides, and
- * sends the offer back when its slots are taken. */
+/* Among the candidates of a new stream, see agent_roll.h, the balancer prefers the one where the
+ * next request ends soonest. Its knowledge is what the agents said in their answers, so it is old
+ * by the time between two offers; the agent itself decides, and sends the offer back when its slots
+ * are taken. */
 
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -41,17 +41,26 @@
 KqStreamTarget *
 kq_stream_targets_find (const KqStreamTargets *targets, uint64_t id)
 {
-  for (unsigned i = 0; i < targets->count; i++)
-    if (targets->targets[i].peer.id == id)
-      return &targets->targets[i];
-  return NULL;
+  unsigned low = 0;
+  unsigned high = targets->count;
+  while (low < high)
+    {
+      unsigned middle = low + (high - low) / 2;
+      if (targets->targets[middle].peer.id < id)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low < targets->count && targets->targets[low].peer.id == id ? &targets->targets[low]
+                                                                     : NULL;
 }
 
-KqStreamTarget *
-kq_stream_targets_all (const KqStreamTargets *targets, unsigned *count)
+static int
+by_id (const void *a, const void *b)
 {
-  *count = targets->count;
-  return targets->targets;
+  const KqStreamTarget *one = a;
+  const KqStreamTarget *other = b;
+  return one->peer.id < other->peer.id ? -1 : one->peer.id > other->peer.id;
 }
 
 static void
@@ -77,49 +86,12 @@
   for (unsigned i = 0; i < count; i++)
     if (members[i].role == KQ_ROLE_AGENT)
       fill (targets, &members[i], &table[used++]);
+  qsort (table, used, sizeof table[0], by_id);
   talloc_free (targets->targets);
   targets->targets = table;
   targets->count = used;
 }
 
-static uint64_t
-rendezvous_weight (uint64_t hash, uint64_t id)
-{
-  uint64_t value = hash * UINT64_C (0x9e3779b97f4a7c15) ^ id;
-  value ^= value >> 32;
-  value *= UINT64_C (0xd6e8feb86659fd93);
-  return value ^ value >> 32;
-}
-
-/**
- * struct Candidates - best draws of one stream
- */
-typedef struct
-{
-  KqStreamTarget *targets[KQ_STREAM_CANDIDATES_MAX];
-  uint64_t weights[KQ_STREAM_CANDIDATES_MAX];
-  unsigned count;
-} Candidates;
-
-static void
-add_candidate (Candidates *best, KqStreamTarget *target, uint64_t weight)
-{
-  unsigned rank = best->count;
-  while (rank > 0 && weight > best->weights[rank - 1])
-    rank--;
-  if (rank == KQ_STREAM_CANDIDATES_MAX)
-    return;
-  if (best->count < KQ_STREAM_CANDIDATES_MAX)
-    best->count++;
-  for (unsigned i = best->count - 1; i > rank; i--)
-    {
-      best->targets[i] = best->targets[i - 1];
-      best->weights[i] = best->weights[i - 1];
-    }
-  best->targets[rank] = target;
-  best->weights[rank] = weight;
-}
-
 static bool
 was_tried (uint64_t id, const uint64_t *tried, unsigned count)
 {
@@ -204,31 +176,30 @@
 }
 
 KqStreamTarget *
-kq_stream_targets_choose (const KqStreamTargets *targets, uint32_t service, uint64_t hash,
-                          const uint64_t *tried, unsigned tried_count, KqTime now)
+kq_stream_targets_choose (const KqStreamTargets *targets, uint32_t service, const uint64_t *drawn,
+                          unsigned drawn_count, const uint64_t *tried, unsigned tried_count,
+                          KqTime now)
 {
-  Candidates best = { .count = 0 };
   KqStreamTarget *chosen = NULL;
   KqStreamTarget *resort = NULL;
   Usual usual = usual_of (targets, service, now);
   uint64_t lowest = 0;
-  for (unsigned i = 0; i < targets->count; i++)
+  for (unsigned i = 0; i < drawn_count; i++)
     {
-      KqStreamTarget *target = &targets->targets[i];
-      if (target->service != service || !target->serving ||
+      KqStreamTarget *target = kq_stream_targets_find (targets, drawn[i]);
+      if (target == NULL || target->service != service || !target->serving ||
           was_tried (target->peer.id, tried, tried_count))
         continue;
       if (target->silent_until > now)
-        resort = target;
-      else
-        add_candidate (&best, target, rendezvous_weight (hash, target->peer.id));
-    }
-  for (unsigned i = 0; i < best.count; i++)
-    {
-      uint64_t price = cost (best.targets[i], &usual, now);
+        {
+          if (resort == NULL || target->silent_until < resort->silent_until)
+            resort = target;
+          continue;
+        }
+      uint64_t price = cost (target, &usual, now);
       if (chosen != NULL && price >= lowest)
         continue;
-      chosen = best.targets[i];
+      chosen = target;
       lowest = price;
     }
   return chosen == NULL ? resort : chosen;
--- a/src/process/control_query.c
+++ b/src/process/control_query.c
@@ -38,6 +38,12 @@
   return control->members;
 }
 
+uint64_t *
+kq_control_ended (const void *parent, const KqControl *control, unsigned *count)
+{
+  return kq_group_ended (parent, control->group, count);
+}
+
 const KqMember *
 kq_control_self (const KqControl *control)
 {
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -66,6 +66,7 @@
   KqProgram *program;
   struct tevent_context *ev;
   const KqSettings *settings;
+  KqAgentRoll *roll;
   KqStreamRouter *router;
   KqControl *control;
   KqStore *store;
@@ -261,13 +262,6 @@
     kq_store_unwatch (balancer->store);
 }
 
-static void
-update_completeness (StreamBalancer *balancer)
-{
-  kq_stream_router_set_complete (balancer->router,
-                                 kq_stream_directory_complete (balancer->directory));
-}
-
 /* A balancer can be cut off from its peers and still reach the store and its callers. */
 static void
 on_refresh (void *data)
@@ -275,8 +269,8 @@
   StreamBalancer *balancer = data;
   kq_timer_set (balancer->refresh_timer, kq_clock_now () + REFRESH_US);
   balancer->lags = kq_control_lags (balancer->control, KQ_ROUTES_DOCUMENT) ? balancer->lags + 1 : 0;
+  kq_agent_roll_advance (balancer->roll, kq_clock_now ());
   update_watch (balancer);
-  update_completeness (balancer);
   if (++balancer->refreshes % READ_REFRESHES == 0 && !balancer->watching && !balancer->stopping)
     kq_store_read_stale (balancer->store, balancer->adapter->routes_key, store_changed, balancer);
 }
@@ -289,14 +283,17 @@
   if (balancer->control == NULL || balancer->store == NULL)
     return;
   const KqMember *members = kq_control_members (balancer->control, &count);
+  unsigned ended_count;
+  uint64_t *ended = kq_control_ended (balancer, balancer->control, &ended_count);
+  kq_agent_roll_update (balancer->roll, members, count, kq_clock_now ());
+  kq_agent_roll_strike (balancer->roll, ended, ended_count);
+  talloc_free (ended);
   kq_stream_router_set_members (balancer->router, members, count);
   update_watch (balancer);
   trust_routes (balancer);
   kq_ready_checks_update (balancer->ready);
-  if (balancer->directory == NULL)
-    return;
-  kq_stream_directory_members_changed (balancer->directory);
-  update_completeness (balancer);
+  if (balancer->directory != NULL)
+    kq_stream_directory_members_changed (balancer->directory);
 }
 
 static unsigned
@@ -318,8 +315,9 @@
     return (KqReadyState){ 0 };
   bool started = kq_clock_now () - balancer->started_at >= READY_LATEST_US;
   bool routes = kq_stream_router_routes (balancer->router) != NULL;
-  return (KqReadyState){ .ready = routes && (started || serving_targets (balancer) > 0),
-                         .soon = !started };
+  bool settled = kq_agent_roll_settled (balancer->roll, kq_clock_now ());
+  bool placing = settled && serving_targets (balancer) > 0;
+  return (KqReadyState){ .ready = routes && (started || placing), .soon = !started };
 }
 
 static void
@@ -354,7 +352,8 @@
   if (now.segments != before->segments)
     kq_log (LOG_INFO, "streams-summary",
             "seconds=%d segments=%llu opened=%llu offers=%llu declined=%llu unanswered=%llu "
-            "refused=%llu searches=%llu found=%llu lost=%llu dropped=%llu streams=%llu",
+            "refused=%llu searches=%llu questions=%llu late=%llu queued=%llu limit=%llu "
+            "found=%llu lost=%llu dropped=%llu streams=%llu",
             (int)(SUMMARY_US / KQ_SECOND), (unsigned long long)(now.segments - before->segments),
             (unsigned long long)(now.opened - before->opened),
             (unsigned long long)(now.offers - before->offers),
@@ -362,7 +361,9 @@
             (unsigned long long)(now.unanswered - before->unanswered),
             (unsigned long long)(now.refused - before->refused),
             (unsigned long long)(now.searches - before->searches),
-            (unsigned long long)(now.found - before->found),
+            (unsigned long long)(now.questions - before->questions),
+            (unsigned long long)(now.late - before->late), (unsigned long long)now.queued,
+            (unsigned long long)now.search_limit, (unsigned long long)(now.found - before->found),
             (unsigned long long)(now.lost - before->lost),
             (unsigned long long)(now.dropped - before->dropped), (unsigned long long)now.streams);
   balancer->summarized = now;
@@ -425,7 +426,10 @@
     .send = send_frame, .reset = send_reset, .event = kq_stream_log_event, .opened = stream_opened
   };
   const char *domain = kq_settings_text (balancer->settings, "failure_domain");
-  balancer->router = kq_stream_router_new (balancer, domain, &ops, balancer);
+  balancer->roll = kq_agent_roll_new (balancer, kq_clock_now ());
+  if (balancer->roll == NULL)
+    return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for the agents; raise the limit");
+  balancer->router = kq_stream_router_new (balancer, domain, balancer->roll, &ops, balancer);
   balancer->metrics = kq_metrics_new (balancer);
   balancer->timer = kq_timer_new (balancer, balancer->ev, on_tick, balancer, error);
   balancer->stop_timer = kq_timer_new (balancer, balancer->ev, on_stop, balancer, error);
@@ -466,8 +470,8 @@
     }
   kq_timer_set (balancer->refresh_timer, kq_clock_now () + REFRESH_US);
   update_watch (balancer);
-  balancer->directory =
-      kq_stream_directory_new (balancer, ev, balancer->store, balancer->control, error);
+  balancer->directory = kq_stream_directory_new (balancer, ev, balancer->store, balancer->control,
+                                                 balancer->roll, error);
   if (balancer->directory == NULL)
     {
       talloc_free (balancer);
--- a/src/process/stream_directory.c
+++ b/src/process/stream_directory.c
@@ -4,7 +4,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "kumquat/internal/agent_roll.h"
 #include "kumquat/internal/clock.h"
 #include "kumquat/internal/stream_directory.h"
 #include "kumquat/internal/stream_process.h"
@@ -21,6 +20,7 @@
  * @was_read: @revision is known
  * @read_at: when the directory is read again; KQ_NEVER when nothing asks for it
  * @introduced: the directory was used once
+ * @oddities: see kq_stream_directory_oddities()
  * @calling: a call to the store is in progress
  * @writing: hash of what the call writes
  * @text: (owned): what the last call wrote
@@ -31,7 +31,8 @@
   KqControl *control;
   KqTimer *timer;
   KqRandom random;
-  KqAgentRoll roll;
+  KqAgentRoll *roll;
+  KqDirectoryOddities oddities;
   KqDirectoryPlan plan;
   uint64_t revision;
   uint64_t writing;
@@ -42,24 +43,43 @@
   bool calling;
 };
 
-static unsigned
-wanted_entries (const KqStreamDirectory *directory, KqDirectoryEntry *entries)
+/* Return: (owned by @directory) what the store should hold, @count entries, or NULL. */
+static KqDirectoryEntry *
+wanted_entries (KqStreamDirectory *directory, unsigned *count)
 {
-  unsigned count;
-  const KqMember *members = kq_control_members (directory->control, &count);
-  unsigned agents = kq_agent_roll_entries (&directory->roll, entries, KQ_DIRECTORY_ENTRIES);
-  return kq_directory_add_balancers (members, count, entries, agents, KQ_DIRECTORY_ENTRIES);
+  unsigned member_count;
+  const KqMember *members = kq_control_members (directory->control, &member_count);
+  KqDirectoryEntry *entries = kq_agent_roll_entries (directory, directory->roll, count);
+  if (entries == NULL)
+    return NULL;
+  return kq_directory_add_balancers (directory, entries, count, members, member_count);
 }
 
 static void
-introduce (KqStreamDirectory *directory, KqDirectoryEntry *entries, unsigned count)
+introduce (KqStreamDirectory *directory, const KqDirectoryEntry *entries, unsigned count)
 {
-  KqAddress addresses[KQ_DIRECTORY_ENTRIES];
+  KqAddress *addresses = talloc_array (directory, KqAddress, count + 1);
   KqRole role = kq_control_self (directory->control)->role;
+  if (addresses == NULL)
+    return;
   unsigned chosen = kq_directory_choose (entries, count, role, kq_random_next (&directory->random),
-                                         addresses, KQ_DIRECTORY_ENTRIES);
+                                         addresses, count);
   directory->introduced = true;
   kq_control_introduce (directory->control, addresses, chosen);
+  talloc_free (addresses);
+}
+
+static void
+note_oddities (KqStreamDirectory *directory, const KqDirectoryOddities *oddities)
+{
+  directory->oddities.nameless += oddities->nameless;
+  directory->oddities.unknown_role += oddities->unknown_role;
+  directory->oddities.repeated += oddities->repeated;
+  if (oddities->nameless + oddities->unknown_role + oddities->repeated > 0)
+    kq_log (LOG_WARNING, "directory-doubtful",
+            "nameless=%u unknown_role=%u repeated=%u reason=\"another version wrote it; callers of "
+            "lost streams are told later\"",
+            oddities->nameless, oddities->unknown_role, oddities->repeated);
 }
 
 /* Return: hash of the entries, or 0 when they are none. */
@@ -67,12 +87,13 @@
 take_value (KqStreamDirectory *directory, const uint8_t *bytes, size_t size, uint64_t revision,
             const char *source)
 {
-  KqDirectoryEntry entries[KQ_DIRECTORY_ENTRIES];
   KqError error = { 0 };
+  KqDirectoryOddities oddities;
   char quoted[KQ_LOG_QUOTE_BYTES];
-  int count =
-      kq_directory_decode ((const char *)bytes, size, entries, KQ_DIRECTORY_ENTRIES, &error);
-  if (count < 0)
+  unsigned count;
+  KqDirectoryEntry *entries =
+      kq_directory_decode (directory, (const char *)bytes, size, &count, &oddities, &error);
+  if (entries == NULL)
     {
       kq_log (LOG_WARNING, "directory-refused", "source=%s error=%s", source,
               kq_log_quote (error.message, quoted));
@@ -81,12 +102,15 @@
   /* A process that has run for a while knows by itself who was there. */
   if (!directory->introduced)
     {
-      kq_agent_roll_read (&directory->roll, entries, (unsigned)count, kq_clock_now ());
-      kq_log (LOG_INFO, "directory-read", "source=%s members=%d revision=%llu", source, count,
+      kq_agent_roll_read (directory->roll, entries, count, kq_clock_now ());
+      kq_log (LOG_INFO, "directory-read", "source=%s members=%u revision=%llu", source, count,
               (unsigned long long)revision);
-      introduce (directory, entries, (unsigned)count);
+      note_oddities (directory, &oddities);
+      introduce (directory, entries, count);
     }
-  return kq_directory_hash (entries, (unsigned)count);
+  uint64_t hash = kq_directory_hash (entries, count);
+  talloc_free (entries);
+  return hash;
 }
 
 static void
@@ -112,6 +136,14 @@
     spread (directory, value->bytes, value->size);
 }
 
+/* The first members of a fleet write the directory a second after they have met. */
+static void
+found_fleet (KqStreamDirectory *directory)
+{
+  kq_log (LOG_NOTICE, "directory-absent", "reason=\"the fleet starts for the first time\"");
+  kq_agent_roll_found (directory->roll, kq_clock_now ());
+}
+
 static void
 on_read (const KqStoreReply *reply, void *data)
 {
@@ -136,6 +168,8 @@
       if (strcmp (reply->values[i].key, KQ_DIRECTORY_KEY) == 0)
         take_stored (directory, &reply->values[i]);
     }
+  if (directory->revision == 0 && reply->revision > 0)
+    found_fleet (directory);
   kq_stream_directory_members_changed (directory);
 }
 
@@ -171,18 +205,22 @@
 static void
 write_directory (KqStreamDirectory *directory)
 {
-  KqDirectoryEntry entries[KQ_DIRECTORY_ENTRIES];
-  unsigned count = wanted_entries (directory, entries);
+  unsigned count;
+  KqDirectoryEntry *entries = wanted_entries (directory, &count);
   talloc_free (directory->text);
-  directory->text = kq_directory_encode (directory, entries, count);
+  directory->text = entries == NULL ? NULL : kq_directory_encode (directory, entries, count);
   if (directory->text == NULL)
-    return;
+    {
+      talloc_free (entries);
+      return;
+    }
   KqStoreWrite write = { .key = KQ_DIRECTORY_KEY,
                          .bytes = (const uint8_t *)directory->text,
                          .size = strlen (directory->text),
                          .expected_mod_revision = directory->revision };
   directory->calling = true;
   directory->writing = kq_directory_hash (entries, count);
+  talloc_free (entries);
   kq_log (LOG_INFO, "directory-written", "members=%u over=%llu", count,
           (unsigned long long)directory->revision);
   kq_store_write (directory->store, &write, 1, on_written, directory);
@@ -202,7 +240,7 @@
 
 KqStreamDirectory *
 kq_stream_directory_new (const void *parent, struct tevent_context *ev, KqStore *store,
-                         KqControl *control, KqError *error)
+                         KqControl *control, KqAgentRoll *roll, KqError *error)
 {
   KqStreamDirectory *directory = talloc_zero (parent, KqStreamDirectory);
   if (directory == NULL)
@@ -213,9 +251,9 @@
   directory->read_at = KQ_NEVER;
   directory->store = store;
   directory->control = control;
+  directory->roll = roll;
   kq_random_seed_system (&directory->random);
   kq_directory_plan_init (&directory->plan);
-  kq_agent_roll_init (&directory->roll, kq_clock_now ());
   directory->timer = kq_timer_new (directory, ev, on_due, directory, error);
   if (directory->timer == NULL)
     {
@@ -229,17 +267,19 @@
 void
 kq_stream_directory_members_changed (KqStreamDirectory *directory)
 {
-  KqDirectoryEntry entries[KQ_DIRECTORY_ENTRIES];
   unsigned member_count;
-  KqTime now = kq_clock_now ();
-  const KqMember *members = kq_control_members (directory->control, &member_count);
-  kq_agent_roll_update (&directory->roll, members, member_count, now);
+  unsigned count;
+  uint64_t wanted = 0;
   if (directory->calling)
     return;
+  const KqMember *members = kq_control_members (directory->control, &member_count);
   uint64_t self = kq_control_self (directory->control)->peer.id;
   bool writer = kq_directory_is_writer (members, member_count, self);
-  unsigned count = wanted_entries (directory, entries);
-  kq_directory_plan_update (&directory->plan, kq_directory_hash (entries, count), writer, now);
+  KqDirectoryEntry *entries = writer ? wanted_entries (directory, &count) : NULL;
+  if (entries != NULL)
+    wanted = kq_directory_hash (entries, count);
+  talloc_free (entries);
+  kq_directory_plan_update (&directory->plan, wanted, entries != NULL, kq_clock_now ());
   KqTime due = directory->plan.due;
   kq_timer_set (directory->timer, directory->read_at < due ? directory->read_at : due);
 }
@@ -251,8 +291,8 @@
   kq_stream_directory_members_changed (directory);
 }
 
-bool
-kq_stream_directory_complete (const KqStreamDirectory *directory)
+KqDirectoryOddities
+kq_stream_directory_oddities (const KqStreamDirectory *directory)
 {
-  return kq_agent_roll_complete (&directory->roll, kq_clock_now ());
+  return directory->oddities;
 }
--- a/src/process/stream_metrics.c
+++ b/src/process/stream_metrics.c
@@ -72,6 +72,13 @@
                stats->no_route);
   set_counter (metrics, "kumquat_searches_total", "Searches for the holder of a stream.",
                stats->searches);
+  set_counter (metrics, "kumquat_search_questions_total",
+               "Agents asked whether they hold a stream.", stats->questions);
+  set_counter (metrics, "kumquat_search_late_total", "Rounds of questions not answered in time.",
+               stats->late);
+  set_gauge (metrics, "kumquat_searches_queued", "Streams whose search waits.", stats->queued);
+  set_gauge (metrics, "kumquat_search_limit", "Searches that may run at once.",
+             stats->search_limit);
   set_counter (metrics, "kumquat_streams_found_total", "Streams whose holder was found.",
                stats->found);
   set_counter (metrics, "kumquat_streams_lost_total", "Streams that nobody held.", stats->lost);
--- a/src/version/agent_roll.c
+++ b/src/version/agent_roll.c
@@ -1,34 +1,65 @@
 #include <string.h>
+#include <talloc.h>
 
-#include "kumquat/internal/agent_roll.h"
+#include "kumquat/internal/agent_roll_state.h"
 
-/* No stream lives longer than a minute (max_flow_s); the rest is for clocks and messages. */
-#define ROLL_US (65 * KQ_SECOND)
+#define SLOT_US KQ_SECOND
 
-void
-kq_agent_roll_init (KqAgentRoll *roll, KqTime now)
+/* No stream lives longer than the slots of a mask. */
+#define ROLL_US (KQ_ROLL_SLOTS * SLOT_US)
+
+/* Instances learn of an agent that came or went within so long of one another. */
+#define LAG_SLOTS 2
+#define LAG_US    (LAG_SLOTS * SLOT_US)
+#define LAG_MASK  ((UINT64_C (1) << (LAG_SLOTS + 1)) - 1)
+
+/* An agent that is gone stays drawn for so long: before the first instance stops drawing it, the
+ * last one has known for SURE_US that it is gone. */
+#define HOLD_US (5 * KQ_SECOND)
+#define SURE_US (HOLD_US - LAG_US)
+
+/* A process that is started again is a member within a second. An agent that has been away for
+ * longer is gone with what its target held, or so far cut off that its callers are better off with
+ * another target. The first time is for those that were members, and were left alone until they
+ * counted as dead; the second for those that a process reads of when it starts. */
+#define GONE_US  (3 * KQ_SECOND)
+#define UNMET_US (1 * KQ_SECOND)
+
+/* A directory lags by 3 s, so an agent that it does not name may still have been there before. */
+#define READ_LAG_US (5 * KQ_SECOND)
+
+/* Within it the first agents of a fleet find each other; before, no stream is placed. */
+#define FOUNDING_US (3 * KQ_SECOND)
+
+/* The directory is there within milliseconds of a start, unless the store is away; then peers are
+ * asked for what is known. */
+#define SETTLED_US (3 * KQ_SECOND)
+
+KqAgentRoll *
+kq_agent_roll_new (const void *parent, KqTime now)
 {
-  roll->count = 0;
+  KqAgentRoll *roll = talloc_zero (parent, KqAgentRoll);
+  if (roll == NULL)
+    return NULL;
   roll->known_at = now + ROLL_US;
+  roll->settled_at = now + SETTLED_US;
+  roll->founded_at = KQ_NEVER;
+  roll->read_at = KQ_NEVER;
+  roll->slot_at = now;
+  roll->window = UINT64_MAX;
+  return roll;
 }
 
-/* Return: the place of the entry with @control, or where it belongs. */
+/* Return: the place of the entry with @id, or where it belongs. */
 static unsigned
-place_of (const KqAgentRoll *roll, const KqAddress *control, bool *found)
+place_of (const KqAgentRoll *roll, uint64_t id)
 {
   unsigned low = 0;
   unsigned high = roll->count;
-  *found = false;
   while (low < high)
     {
       unsigned middle = low + (high - low) / 2;
-      int order = kq_address_compare (&roll->entries[middle].control, control);
-      if (order == 0)
-        {
-          *found = true;
-          return middle;
-        }
-      if (order < 0)
+      if (roll->entries[middle].id < id)
         low = middle + 1;
       else
         high = middle;
@@ -36,26 +67,147 @@
   return low;
 }
 
-static void
-see (KqAgentRoll *roll, const KqAddress *control, bool present, KqTime now)
+static KqRollEntry *
+find (const KqAgentRoll *roll, uint64_t id)
+{
+  unsigned place = place_of (roll, id);
+  return place < roll->count && roll->entries[place].id == id ? &roll->entries[place] : NULL;
+}
+
+/* Return: a new entry of nobody's, or NULL without memory: then nothing is certain any more. */
+static KqRollEntry *
+insert (KqAgentRoll *roll, uint64_t id)
 {
-  bool found;
-  unsigned place = place_of (roll, control, &found);
-  if (!found)
+  unsigned place = place_of (roll, id);
+  if (roll->count == roll->capacity)
     {
-      /* A larger fleet is never complete: its callers are told by their targets alone. */
-      if (roll->count == KQ_DIRECTORY_ENTRIES)
+      unsigned capacity = roll->capacity == 0 ? 64 : 2 * roll->capacity;
+      KqRollEntry *entries = talloc_realloc (roll, roll->entries, KqRollEntry, capacity);
+      if (entries == NULL)
         {
           roll->known_at = KQ_NEVER;
-          return;
+          return NULL;
         }
-      memmove (&roll->entries[place + 1], &roll->entries[place],
-               (roll->count - place) * sizeof roll->entries[0]);
-      roll->entries[place] = (KqRollEntry){ .control = *control };
-      roll->count++;
+      roll->entries = entries;
+      roll->capacity = capacity;
+    }
+  memmove (&roll->entries[place + 1], &roll->entries[place],
+           (roll->count - place) * sizeof roll->entries[0]);
+  roll->entries[place] = (KqRollEntry){ .id = id };
+  roll->count++;
+  roll->version++;
+  return &roll->entries[place];
+}
+
+static void
+start_drawing (KqRollEntry *entry, KqTime since)
+{
+  entry->drawn = true;
+  entry->drawn_since = since;
+  entry->possible |= LAG_MASK;
+}
+
+static void
+look_for_missing (KqAgentRoll *roll, KqTime now)
+{
+  for (unsigned i = 0; i < roll->count; i++)
+    {
+      KqRollEntry *entry = &roll->entries[i];
+      bool missing = !entry->member && !entry->ended &&
+                     now - entry->seen_at < (entry->met ? GONE_US : UNMET_US);
+      roll->version += missing != entry->missing;
+      entry->missing = missing;
+    }
+}
+
+void
+kq_agent_roll_found (KqAgentRoll *roll, KqTime now)
+{
+  if (now >= roll->known_at || roll->founded_at != KQ_NEVER)
+    return;
+  roll->founded_at = now;
+  roll->known_at = now;
+  roll->settled_at = now + FOUNDING_US;
+  roll->window = 1;
+  roll->version++;
+  for (unsigned i = 0; i < roll->count; i++)
+    {
+      roll->entries[i].certain = UINT64_MAX;
+      roll->entries[i].drawn_since = now - LAG_US;
+    }
+}
+
+/* An agent that was not known came in. */
+static void
+take_newcomer (const KqAgentRoll *roll, KqRollEntry *entry, KqTime now)
+{
+  bool founder = roll->founded_at != KQ_NEVER && now - roll->founded_at < FOUNDING_US;
+  bool may_be_older =
+      now < roll->known_at || (roll->read_at != KQ_NEVER && now - roll->read_at < READ_LAG_US);
+  if (founder || may_be_older)
+    entry->possible = UINT64_MAX;
+  if (founder)
+    entry->certain = UINT64_MAX;
+  start_drawing (entry, founder ? now - LAG_US : now);
+}
+
+static void
+forget_nameless (KqAgentRoll *roll, const KqAddress *control, KqTime now)
+{
+  unsigned kept = 0;
+  for (unsigned i = 0; i < roll->nameless_count; i++)
+    {
+      const KqRollNameless *nameless = &roll->nameless[i];
+      bool met = control != NULL && kq_address_equal (&nameless->control, control);
+      if (!met && now - nameless->seen_at < ROLL_US)
+        roll->nameless[kept++] = *nameless;
+    }
+  roll->version += kept != roll->nameless_count;
+  roll->nameless_count = kept;
+}
+
+static void
+add_nameless (KqAgentRoll *roll, const KqAddress *control, KqTime now)
+{
+  for (unsigned i = 0; i < roll->count; i++)
+    {
+      if (roll->entries[i].met && kq_address_equal (&roll->entries[i].control, control))
+        return;
+    }
+  KqRollNameless *list =
+      talloc_realloc (roll, roll->nameless, KqRollNameless, roll->nameless_count + 1);
+  if (list == NULL)
+    {
+      roll->known_at = KQ_NEVER;
+      return;
+    }
+  roll->nameless = list;
+  roll->nameless[roll->nameless_count++] = (KqRollNameless){ .control = *control, .seen_at = now };
+}
+
+static void
+read_entry (KqAgentRoll *roll, const KqDirectoryEntry *read, KqTime now)
+{
+  KqRollEntry *entry = find (roll, read->id);
+  if (entry == NULL)
+    {
+      entry = insert (roll, read->id);
+      if (entry == NULL)
+        return;
+      entry->control = read->control;
+      entry->service = read->service;
+      entry->ended = read->ended;
+      entry->seen_at = read->present ? now : now - HOLD_US;
     }
-  roll->entries[place].seen_at = now;
-  roll->entries[place].present |= present;
+  entry->possible |= read->possible;
+  entry->certain |= read->certain;
+  if (!read->present)
+    return;
+  /* One that was a member when the directory was written is drawn by all. */
+  if (!entry->drawn)
+    start_drawing (entry, KQ_NEVER);
+  if ((read->certain & 1) != 0)
+    entry->drawn_since = now - LAG_US;
 }
 
 void
@@ -63,72 +215,203 @@
 {
   for (unsigned i = 0; i < count; i++)
     {
-      if (entries[i].role == KQ_ROLE_AGENT)
-        see (roll, &entries[i].control, false, now);
+      if (entries[i].role == KQ_ROLE_BALANCER)
+        continue;
+      if (entries[i].id == 0)
+        add_nameless (roll, &entries[i].control, now);
+      else
+        read_entry (roll, &entries[i], now);
     }
-  if (roll->known_at != KQ_NEVER)
+  if (roll->known_at != KQ_NEVER && roll->known_at > now)
     roll->known_at = now;
+  roll->settled_at = roll->settled_at < now ? roll->settled_at : now;
+  roll->read_at = now;
+  look_for_missing (roll, now);
+  roll->version++;
+}
+
+static void
+see (KqAgentRoll *roll, const KqMember *member, KqTime now)
+{
+  KqRollEntry *entry = find (roll, member->peer.id);
+  if (entry == NULL)
+    {
+      entry = insert (roll, member->peer.id);
+      if (entry == NULL)
+        return;
+      entry->service = member->service;
+      take_newcomer (roll, entry, now);
+    }
+  else if (!entry->drawn || entry->drawn_since == KQ_NEVER)
+    start_drawing (entry, now);
+  if (entry->service != member->service)
+    entry->certain = 0;
+  entry->service = member->service;
+  entry->control = member->control;
+  entry->member = true;
+  entry->met = true;
+  entry->ended = false;
+  entry->seen_at = now;
+  if (roll->nameless_count > 0)
+    forget_nameless (roll, &member->control, now);
 }
 
 /* An agent whose target has ended holds nothing, and is not missed. */
 static void
-strike (KqAgentRoll *roll, const KqAddress *control, KqTime now)
+strike (KqAgentRoll *roll, uint64_t id)
 {
-  bool found;
-  unsigned place = place_of (roll, control, &found);
-  if (found)
-    roll->entries[place].seen_at = now - ROLL_US;
+  KqRollEntry *entry = find (roll, id);
+  if (entry == NULL || entry->ended)
+    return;
+  entry->ended = true;
+  entry->missing = false;
+  roll->version++;
 }
 
+/* A process that loses most agents at once is likely to be cut off, and others draw on without it.
+ */
 static void
-forget_old (KqAgentRoll *roll, KqTime now)
+look_for_cut (KqAgentRoll *roll)
 {
-  unsigned kept = 0;
+  unsigned members = 0;
+  unsigned lost = 0;
   for (unsigned i = 0; i < roll->count; i++)
     {
-      if (roll->entries[i].present || now - roll->entries[i].seen_at < ROLL_US)
-        roll->entries[kept++] = roll->entries[i];
+      const KqRollEntry *entry = &roll->entries[i];
+      members += entry->member;
+      lost += entry->met && !entry->member && !entry->ended;
     }
-  roll->count = kept;
+  roll->doubted = lost > members;
+  for (unsigned i = 0; i < roll->count && roll->doubted; i++)
+    roll->entries[i].certain &= ~UINT64_C (1);
 }
 
 void
 kq_agent_roll_update (KqAgentRoll *roll, const KqMember *members, unsigned count, KqTime now)
 {
+  unsigned before = 0;
+  unsigned after = 0;
+  kq_agent_roll_advance (roll, now);
   for (unsigned i = 0; i < roll->count; i++)
     {
-      if (roll->entries[i].present)
+      before += roll->entries[i].member;
+      if (roll->entries[i].member)
         roll->entries[i].seen_at = now;
-      roll->entries[i].present = false;
+      roll->entries[i].member = false;
     }
   for (unsigned i = 0; i < count; i++)
     {
       if (members[i].role == KQ_ROLE_AGENT && members[i].phase == KQ_PHASE_EMPTY)
-        strike (roll, &members[i].control, now);
+        strike (roll, members[i].peer.id);
       else if (members[i].role == KQ_ROLE_AGENT)
-        see (roll, &members[i].control, true, now);
+        see (roll, &members[i], now);
     }
-  forget_old (roll, now);
+  for (unsigned i = 0; i < roll->count; i++)
+    after += roll->entries[i].member;
+  roll->version += before != after;
+  look_for_cut (roll);
+  look_for_missing (roll, now);
 }
 
-bool
-kq_agent_roll_complete (const KqAgentRoll *roll, KqTime now)
+void
+kq_agent_roll_strike (KqAgentRoll *roll, const uint64_t *ids, unsigned count)
 {
-  if (now < roll->known_at)
-    return false;
+  for (unsigned i = 0; i < count; i++)
+    strike (roll, ids[i]);
+}
+
+/* After a pause this process does not know whom others drew meanwhile. */
+static void
+shift (KqAgentRoll *roll, KqRollEntry *entry, unsigned slots, KqTime now)
+{
+  entry->certain = slots < KQ_ROLL_SLOTS ? entry->certain << slots : 0;
+  entry->possible = slots < KQ_ROLL_SLOTS ? entry->possible << slots : 0;
+  if (entry->drawn || now - entry->seen_at < HOLD_US + LAG_US)
+    entry->possible |= slots < KQ_ROLL_SLOTS ? (UINT64_C (1) << slots) - 1 : UINT64_MAX;
+  if (entry->drawn && !roll->doubted && now - entry->drawn_since >= LAG_US)
+    entry->certain |= 1;
+}
+
+static void
+forget_old (KqAgentRoll *roll, KqTime now)
+{
+  unsigned kept = 0;
+  for (unsigned i = 0; i < roll->count; i++)
+    {
+      if (roll->entries[i].drawn || roll->entries[i].possible != 0)
+        roll->entries[kept++] = roll->entries[i];
+    }
+  roll->version += kept != roll->count;
+  roll->count = kept;
+  forget_nameless (roll, NULL, now);
+}
+
+void
+kq_agent_roll_advance (KqAgentRoll *roll, KqTime now)
+{
+  KqTime slots = (now - roll->slot_at) / SLOT_US;
   for (unsigned i = 0; i < roll->count; i++)
     {
-      if (!roll->entries[i].present && now - roll->entries[i].seen_at < ROLL_US)
-        return false;
+      KqRollEntry *entry = &roll->entries[i];
+      if (!entry->drawn || entry->member || now - entry->seen_at < SURE_US)
+        continue;
+      /* From here on others may have stopped drawing it. */
+      entry->certain &= ~UINT64_C (1);
+      entry->drawn_since = KQ_NEVER;
+      entry->drawn = now - entry->seen_at < HOLD_US;
+      roll->version += !entry->drawn;
     }
-  return true;
+  look_for_missing (roll, now);
+  if (slots <= 0)
+    return;
+  unsigned steps = slots < KQ_ROLL_SLOTS ? (unsigned)slots : KQ_ROLL_SLOTS;
+  roll->slot_at += slots * SLOT_US;
+  for (unsigned i = 0; i < roll->count; i++)
+    shift (roll, &roll->entries[i], steps, now);
+  roll->window =
+      steps < KQ_ROLL_SLOTS ? roll->window << steps | ((UINT64_C (1) << steps) - 1) : UINT64_MAX;
+  forget_old (roll, now);
 }
 
 unsigned
-kq_agent_roll_entries (const KqAgentRoll *roll, KqDirectoryEntry *entries, unsigned capacity)
+kq_agent_roll_version (const KqAgentRoll *roll)
 {
-  unsigned count = roll->count < capacity ? roll->count : capacity;
-  for (unsigned i = 0; i < count; i++)
-    entries[i] = (KqDirectoryEntry){ .control = roll->entries[i].control, .role = KQ_ROLE_AGENT };
-  return count;
+  return roll->version;
+}
+
+bool
+kq_agent_roll_settled (const KqAgentRoll *roll, KqTime now)
+{
+  return now >= roll->settled_at;
+}
+
+KqDirectoryEntry *
+kq_agent_roll_entries (const void *parent, const KqAgentRoll *roll, unsigned *count)
+{
+  unsigned room = roll->count + roll->nameless_count;
+  KqDirectoryEntry *entries = talloc_zero_array (parent, KqDirectoryEntry, room + 1);
+  unsigned written = 0;
+  *count = 0;
+  if (entries == NULL)
+    return NULL;
+  for (unsigned i = 0; i < roll->count; i++)
+    {
+      const KqRollEntry *entry = &roll->entries[i];
+      uint64_t gone = entry->member ? 0 : 1;
+      if (entry->ended && !entry->drawn)
+        continue;
+      entries[written++] = (KqDirectoryEntry){ .control = entry->control,
+                                               .role = KQ_ROLE_AGENT,
+                                               .id = entry->id,
+                                               .service = entry->service,
+                                               .present = entry->drawn,
+                                               .ended = entry->ended,
+                                               .certain = entry->certain & ~gone,
+                                               .possible = entry->possible };
+    }
+  for (unsigned i = 0; i < roll->nameless_count; i++)
+    entries[written++] =
+        (KqDirectoryEntry){ .control = roll->nameless[i].control, .role = KQ_ROLE_AGENT };
+  *count = written;
+  return entries;
 }
--- a/src/version/directory.c
+++ b/src/version/directory.c
@@ -5,7 +5,9 @@
  * balancer writes it, when members have come or gone; while the fleet is split, each part may
  * write, and the last one stands until members change again. */
 
+#include <inttypes.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -19,45 +21,104 @@
 #define SETTLE_US   (1 * KQ_SECOND)
 #define INTERVAL_US (2 * KQ_SECOND)
 
-unsigned
-kq_directory_add_balancers (const KqMember *members, unsigned member_count,
-                            KqDirectoryEntry *entries, unsigned count, unsigned capacity)
+#define HEX_DIGITS 16
+
+/* An agent is written as a list: address, id, service, and its seconds unless all are set. Those
+ * that are drawn stand under "agents", or under "ended" when their target has ended; the others
+ * under "gone". */
+enum
+{
+  FIELD_ADDRESS,
+  FIELD_ID,
+  FIELD_SERVICE,
+  FIELD_CERTAIN,
+  FIELD_POSSIBLE
+};
+
+KqDirectoryEntry *
+kq_directory_add_balancers (const void *parent, KqDirectoryEntry *entries, unsigned *count,
+                            const KqMember *members, unsigned member_count)
 {
-  for (unsigned i = 0; i < member_count && count < capacity; i++)
+  KqDirectoryEntry *all =
+      talloc_realloc (parent, entries, KqDirectoryEntry, *count + member_count + 1);
+  if (all == NULL)
+    return NULL;
+  for (unsigned i = 0; i < member_count; i++)
     {
       if (members[i].role == KQ_ROLE_BALANCER)
-        entries[count++] =
+        all[(*count)++] =
             (KqDirectoryEntry){ .control = members[i].control, .role = KQ_ROLE_BALANCER };
     }
-  return count;
+  return all;
+}
+
+static bool
+is_settled (const KqDirectoryEntry *entry)
+{
+  return entry->certain == UINT64_MAX && entry->possible == UINT64_MAX;
 }
 
 uint64_t
 kq_directory_hash (const KqDirectoryEntry *entries, unsigned count)
 {
-  char text[KQ_ADDRESS_TEXT_BYTES];
   uint64_t hash = count;
   for (unsigned i = 0; i < count; i++)
     {
-      kq_address_format (&entries[i].control, text);
-      hash = XXH3_64bits_withSeed (text, strlen (text), hash + (uint64_t)entries[i].role);
+      const KqDirectoryEntry *entry = &entries[i];
+      uint64_t state = (uint64_t)entry->role | (uint64_t)entry->present << 1 |
+                       (uint64_t)entry->ended << 2 | (uint64_t)is_settled (entry) << 3;
+      hash = XXH3_64bits_withSeed (entry->control.ip, sizeof entry->control.ip,
+                                   hash + (entry->id ^ state << 16 ^ entry->control.port));
     }
   return hash;
 }
 
+static json_t *
+hex (uint64_t value)
+{
+  char text[HEX_DIGITS + 1];
+  snprintf (text, sizeof text, "%" PRIx64, value);
+  return json_string (text);
+}
+
+static json_t *
+encode_agent (const KqDirectoryEntry *entry, const char *address)
+{
+  json_t *list = json_array ();
+  json_array_append_new (list, json_string (address));
+  json_array_append_new (list, hex (entry->id));
+  json_array_append_new (list, json_integer (entry->service));
+  if (is_settled (entry))
+    return list;
+  json_array_append_new (list, hex (entry->certain));
+  json_array_append_new (list, hex (entry->possible));
+  return list;
+}
+
 char *
 kq_directory_encode (const void *parent, const KqDirectoryEntry *entries, unsigned count)
 {
   json_t *agents = json_array ();
+  json_t *ended = json_array ();
+  json_t *gone = json_array ();
   json_t *balancers = json_array ();
   for (unsigned i = 0; i < count; i++)
     {
+      const KqDirectoryEntry *entry = &entries[i];
       char text[KQ_ADDRESS_TEXT_BYTES];
-      kq_address_format (&entries[i].control, text);
-      json_array_append_new (entries[i].role == KQ_ROLE_AGENT ? agents : balancers,
-                             json_string (text));
+      kq_address_format (&entry->control, text);
+      if (entry->role == KQ_ROLE_BALANCER)
+        json_array_append_new (balancers, json_string (text));
+      else if (entry->id == 0)
+        json_array_append_new (gone, json_string (text));
+      else
+        json_array_append_new (!entry->present ? gone
+                               : entry->ended  ? ended
+                                               : agents,
+                               encode_agent (entry, text));
     }
-  json_t *root = json_pack ("{s:o, s:o}", "agents", agents, "balancers", balancers);
+  json_t *root = json_pack ("{s:o, s:o, s:o, s:o}", "agents", agents, "ended", ended, "gone", gone,
+                            "balancers", balancers);
   char *text = json_dumps (root, JSON_COMPACT);
   char *copy = text == NULL ? NULL : talloc_strdup (parent, text);
   free (text);
@@ -65,48 +126,156 @@
   return copy;
 }
 
+static bool
+read_hex (const json_t *list, size_t field, uint64_t *value)
+{
+  const char *text = json_string_value (json_array_get (list, field));
+  char *end = NULL;
+  if (text == NULL || text[0] == '\0')
+    return false;
+  *value = strtoull (text, &end, 16);
+  return *end == '\0';
+}
+
+/* Return: 0, or -1 when @item names no agent. */
 static int
-read_list (const json_t *list, KqRole role, KqDirectoryEntry *entries, unsigned count,
-           unsigned capacity, KqError *error)
+read_agent (const json_t *item, KqDirectoryEntry *entry)
+{
+  const char *text = json_string_value (item);
+  size_t fields = json_array_size (item);
+  if (text == NULL)
+    text = json_string_value (json_array_get (item, FIELD_ADDRESS));
+  if (text == NULL || kq_address_parse (text, &entry->control, NULL) < 0)
+    return -1;
+  if (json_is_string (item))
+    return 0;
+  json_int_t service = json_integer_value (json_array_get (item, FIELD_SERVICE));
+  entry->certain = UINT64_MAX;
+  entry->possible = UINT64_MAX;
+  entry->service = (uint32_t)service;
+  if (service <= 0 || service > UINT32_MAX || !read_hex (item, FIELD_ID, &entry->id) ||
+      entry->id == 0)
+    return -1;
+  if (fields > FIELD_CERTAIN && (!read_hex (item, FIELD_CERTAIN, &entry->certain) ||
+                                 !read_hex (item, FIELD_POSSIBLE, &entry->possible)))
+    return -1;
+  return 0;
+}
+
+static int
+read_balancer (const json_t *item, KqDirectoryEntry *entry)
+{
+  const char *text = json_string_value (item);
+  return text == NULL ? -1 : kq_address_parse (text, &entry->control, NULL);
+}
+
+/**
+ * struct Reading - a directory that is being read
+ */
+typedef struct
+{
+  KqDirectoryEntry *entries;
+  unsigned count;
+  KqDirectoryOddities oddities;
+} Reading;
+
+static int
+read_list (Reading *reading, const char *name, const json_t *list, KqError *error)
 {
   const json_t *item;
   size_t index;
+  bool balancers = strcmp (name, "balancers") == 0;
+  bool ended = strcmp (name, "ended") == 0;
+  bool present = strcmp (name, "agents") == 0 || ended;
+  bool agents = present || strcmp (name, "gone") == 0;
   json_array_foreach (list, index, item)
   {
-    const char *text = json_string_value (item);
-    if (count == capacity)
-      break;
-    if (text == NULL || kq_address_parse (text, &entries[count].control, NULL) < 0)
+    KqDirectoryEntry *entry = &reading->entries[reading->count];
+    *entry = (KqDirectoryEntry){ .role = balancers ? KQ_ROLE_BALANCER : KQ_ROLE_AGENT };
+    if ((balancers ? read_balancer (item, entry) : read_agent (item, entry)) < 0)
       return kq_error_set (error, KQ_ERROR_INVALID,
-                           "the directory of members holds an address that is none; remove the key "
-                           "%s, it is written again",
+                           "the directory of members holds an entry that names no member; it is "
+                           "written over when members change (key %s)",
                            KQ_DIRECTORY_KEY);
-    entries[count++].role = role;
+    entry->present = present && entry->id != 0;
+    entry->ended = ended;
+    if (!agents && !balancers)
+      {
+        entry->id = 0;
+        reading->oddities.unknown_role++;
+      }
+    else
+      reading->oddities.nameless += !balancers && entry->id == 0;
+    reading->count++;
+  }
+  return 0;
+}
+
+static int
+by_address (const void *a, const void *b)
+{
+  return kq_address_compare (a, b);
+}
+
+static unsigned
+count_repeated (const Reading *reading)
+{
+  KqAddress *order = talloc_array (reading->entries, KqAddress, reading->count + 1);
+  unsigned repeated = 0;
+  if (order == NULL)
+    return 0;
+  for (unsigned i = 0; i < reading->count; i++)
+    order[i] = reading->entries[i].control;
+  qsort (order, reading->count, sizeof order[0], by_address);
+  for (unsigned i = 1; i < reading->count; i++)
+    repeated += kq_address_equal (&order[i - 1], &order[i]);
+  talloc_free (order);
+  return repeated;
+}
+
+static int
+read_lists (const void *parent, const json_t *root, Reading *reading, KqError *error)
+{
+  const char *name;
+  json_t *list;
+  size_t room = 1;
+  json_object_foreach ((json_t *)root, name, list)
+  {
+    room += json_array_size (list);
+  }
+  reading->entries = talloc_array (parent, KqDirectoryEntry, room);
+  if (reading->entries == NULL)
+    return kq_error_set (error, KQ_ERROR_SYSTEM, "no memory for the directory; raise the limit");
+  json_object_foreach ((json_t *)root, name, list)
+  {
+    if (read_list (reading, name, list, error) < 0)
+      return -1;
   }
-  return (int)count;
+  reading->oddities.repeated = count_repeated (reading);
+  return 0;
 }
 
-int
-kq_directory_decode (const char *bytes, size_t size, KqDirectoryEntry *entries, unsigned capacity,
-                     KqError *error)
+KqDirectoryEntry *
+kq_directory_decode (const void *parent, const char *bytes, size_t size, unsigned *count,
+                     KqDirectoryOddities *oddities, KqError *error)
 {
+  Reading reading = { 0 };
   json_t *root = json_loadb (bytes, size, 0, NULL);
-  if (root == NULL)
-    return kq_error_set (error, KQ_ERROR_INVALID,
-                         "the directory of members is not JSON; remove the key %s, it is written "
-                         "again",
-                         KQ_DIRECTORY_KEY);
-  int count =
-      read_list (json_object_get (root, "agents"), KQ_ROLE_AGENT, entries, 0, capacity, error);
-  if (count >= 0)
-    count = read_list (json_object_get (root, "balancers"), KQ_ROLE_BALANCER, entries,
-                       (unsigned)count, capacity, error);
+  if (!json_is_object (root))
+    kq_error_set (error, KQ_ERROR_INVALID,
+                  "the directory of members is no JSON object; it is written over when members "
+                  "change (key %s)",
+                  KQ_DIRECTORY_KEY);
+  else if (read_lists (parent, root, &reading, error) < 0)
+    TALLOC_FREE (reading.entries);
   json_decref (root);
-  return count;
+  *count = reading.count;
+  *oddities = reading.oddities;
+  return reading.entries;
 }
 
 unsigned
-kq_directory_choose (KqDirectoryEntry *entries, unsigned count, KqRole role, uint64_t random,
+kq_directory_choose (const KqDirectoryEntry *entries, unsigned count, KqRole role, uint64_t random,
                      KqAddress *out, unsigned capacity)
 {
   unsigned written = 0;
--- a/src/version/group_query.c
+++ b/src/version/group_query.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include <syslog.h>
+#include <talloc.h>
 
 #include "kumquat/internal/group_impl.h"
 
@@ -26,6 +27,21 @@
   return kq_members_live (group->members);
 }
 
+uint64_t *
+kq_group_ended (const void *parent, const KqGroup *group, unsigned *count)
+{
+  unsigned all = kq_members_count (group->members);
+  uint64_t *ids = talloc_array (parent, uint64_t, all + 1);
+  *count = 0;
+  for (unsigned i = 0; ids != NULL && i < all; i++)
+    {
+      const KqRecord *record = kq_members_at (group->members, i);
+      if (record->state == KQ_MEMBER_LEFT && record->phase == KQ_PHASE_EMPTY)
+        ids[(*count)++] = record->id;
+    }
+  return ids;
+}
+
 KqMember
 kq_group_self (const KqGroup *group)
 {
