A balancer that starts meets others before it tells callers anything

Change: the roll counts as known when members were exchanged, or when more than half of the directory's agents have been met and most of these started within 5 s of this process. The time of an agent that dies counts from suspicion, not from its death 2.5 s later.

Tests: test_agent_roll "before others are met", "all start together", "the time of an agent that dies counts from suspicion".

--- a/include/kumquat/control.h
+++ b/include/kumquat/control.h
@@ -65,6 +65,10 @@
  * this process included, ordered by id */
 const KqMember *kq_control_members (const KqControl *control, unsigned *count);
 
+/** kq_control_settled - Return: whether this process has exchanged members with others, or there is
+ * nobody to exchange them with */
+bool kq_control_settled (const KqControl *control);
+
 /** kq_control_ended - Return: (owned by @parent) ids of the @count agents that left and said that
  * their target had ended, or NULL without memory */
 uint64_t *kq_control_ended (const void *parent, const KqControl *control, unsigned *count);
--- a/include/kumquat/internal/agent_roll.h
+++ b/include/kumquat/internal/agent_roll.h
@@ -33,6 +33,10 @@
  * for as long as streams live; NULL without memory */
 KqAgentRoll *kq_agent_roll_new (const void *parent, KqTime now);
 
+/** kq_agent_roll_born - says when this process started, by the clock of the members' incarnations
+ */
+void kq_agent_roll_born (KqAgentRoll *roll, uint64_t incarnation);
+
 /** kq_agent_roll_found - the store has no directory: the fleet starts for the first time, and no
  * stream is older than this moment */
 void kq_agent_roll_found (KqAgentRoll *roll, KqTime now);
@@ -45,6 +49,11 @@
  * longer than streams live */
 void kq_agent_roll_update (KqAgentRoll *roll, const KqMember *members, unsigned count, KqTime now);
 
+/** kq_agent_roll_join - this process has exchanged members with others; before, agents that came
+ * lately may be neither among the members nor in the directory. It is not needed when most agents
+ * of the directory have been met and have just started as well: then nobody knows more. */
+void kq_agent_roll_join (KqAgentRoll *roll);
+
 /** kq_agent_roll_strike - takes agents that left after their target had ended: they hold nothing,
  * and are not missed */
 void kq_agent_roll_strike (KqAgentRoll *roll, const uint64_t *ids, unsigned count);
--- a/include/kumquat/internal/agent_roll_state.h
+++ b/include/kumquat/internal/agent_roll_state.h
@@ -13,12 +13,14 @@
  * @control: its control address
  * @service: the service of its target
  * @member: it is among the members now
+ * @alive: and is not suspected
+ * @young: it started at about the same time as this process
  * @met: it has been among the members in the life of this process
  * @ended: its target has ended: it holds no stream
  * @missing: it may hold streams and cannot be asked now
  * @drawn: this process draws it
  * @drawn_since: from when on
- * @seen_at: when it was last among the members, or was read
+ * @seen_at: when it was last alive among the members, or was read
  * @certain: slots all through which every instance drew it
  * @possible: slots in which some instance may have drawn it
  */
@@ -28,6 +30,8 @@
   KqAddress control;
   uint32_t service;
   bool member;
+  bool alive;
+  bool young;
   bool met;
   bool ended;
   bool missing;
@@ -52,6 +56,8 @@
  * @entries: (array) (owned): ordered by id
  * @nameless: (array) (owned): see KqRollNameless
  * @known_at: from when on nobody is missing of whom this process could not have heard
+ * @joined: this process knows as much of the members as the others do
+ * @born: incarnation of this process; 0 when not said
  * @settled_at: from when on new streams are placed
  * @founded_at: when the fleet started, KQ_NEVER when it is older than this process
  * @read_at: when a directory was read, KQ_NEVER before
@@ -68,6 +74,8 @@
   KqRollNameless *nameless;
   unsigned nameless_count;
   KqTime known_at;
+  bool joined;
+  uint64_t born;
   KqTime settled_at;
   KqTime founded_at;
   KqTime read_at;
--- a/include/kumquat/internal/group.h
+++ b/include/kumquat/internal/group.h
@@ -113,6 +113,10 @@
 unsigned kq_group_members (const KqGroup *group, KqMember *out, unsigned capacity);
 unsigned kq_group_live (const KqGroup *group);
 
+/** kq_group_settled - Return: whether this process has exchanged members with a seed, or there is
+ * nobody to exchange them with */
+bool kq_group_settled (const KqGroup *group);
+
 /** kq_group_ended - Return: (owned by @parent) ids of the @count agents that left and said that
  * their target had ended, or NULL without memory */
 uint64_t *kq_group_ended (const void *parent, const KqGroup *group, unsigned *count);
--- a/src/process/control_query.c
+++ b/src/process/control_query.c
@@ -38,6 +38,12 @@
   return control->members;
 }
 
+bool
+kq_control_settled (const KqControl *control)
+{
+  return kq_group_settled (control->group);
+}
+
 uint64_t *
 kq_control_ended (const void *parent, const KqControl *control, unsigned *count)
 {
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -288,6 +288,8 @@
   kq_agent_roll_update (balancer->roll, members, count, kq_clock_now ());
   kq_agent_roll_strike (balancer->roll, ended, ended_count);
   talloc_free (ended);
+  if (kq_control_settled (balancer->control))
+    kq_agent_roll_join (balancer->roll);
   kq_stream_router_set_members (balancer->router, members, count);
   update_watch (balancer);
   trust_routes (balancer);
@@ -385,7 +387,10 @@
                                     .woke = kq_stream_woke };
   balancer->control = kq_stream_control_new (balancer, balancer->ev, balancer->settings,
                                              KQ_ROLE_BALANCER, 0, &ops, balancer, error);
-  return balancer->control == NULL ? -1 : 0;
+  if (balancer->control == NULL)
+    return -1;
+  kq_agent_roll_born (balancer->roll, kq_control_self (balancer->control)->peer.incarnation);
+  return 0;
 }
 
 static int
--- a/src/version/agent_draw.c
+++ b/src/version/agent_draw.c
@@ -103,7 +103,8 @@
                           unsigned service_count, uint64_t hash, KqTime now)
 {
   KqRollCandidates candidates = { .missing = roll->nameless_count,
-                                  .known = now >= roll->known_at && !roll->doubted };
+                                  .known =
+                                      now >= roll->known_at && roll->joined && !roll->doubted };
   Ranked *ranked = talloc_array (parent, Ranked, roll->count + 1);
   candidates.ids = talloc_array (parent, uint64_t, roll->count + 1);
   if (ranked == NULL || candidates.ids == NULL)
--- a/src/version/agent_roll.c
+++ b/src/version/agent_roll.c
@@ -18,13 +18,16 @@
 #define HOLD_US (5 * KQ_SECOND)
 #define SURE_US (HOLD_US - LAG_US)
 
-/* A process that is started again is a member within a second. An agent that has been away for
+/* A process that is started again is a member within a second. An agent that has not been alive for
  * longer is gone with what its target held, or so far cut off that its callers are better off with
- * another target. The first time is for those that were members, and were left alone until they
- * counted as dead; the second for those that a process reads of when it starts. */
+ * another target. The first time is for those that were members; the second for those that a
+ * process reads of when it starts and never meets. */
 #define GONE_US  (3 * KQ_SECOND)
 #define UNMET_US (1 * KQ_SECOND)
 
+/* Instances that start together are up within a second; their clocks differ by seconds. */
+#define TOGETHER_US UINT64_C (5000000)
+
 /* A directory lags by 3 s, so an agent that it does not name may still have been there before. */
 #define READ_LAG_US (5 * KQ_SECOND)
 
@@ -50,6 +53,19 @@
   return roll;
 }
 
+void
+kq_agent_roll_born (KqAgentRoll *roll, uint64_t incarnation)
+{
+  roll->born = incarnation;
+}
+
+void
+kq_agent_roll_join (KqAgentRoll *roll)
+{
+  roll->version += !roll->joined;
+  roll->joined = true;
+}
+
 /* Return: the place of the entry with @id, or where it belongs. */
 static unsigned
 place_of (const KqAgentRoll *roll, uint64_t id)
@@ -249,9 +265,13 @@
   entry->service = member->service;
   entry->control = member->control;
   entry->member = true;
+  entry->alive = member->state == KQ_MEMBER_ALIVE;
   entry->met = true;
+  entry->young = roll->born != 0 && member->peer.incarnation + TOGETHER_US > roll->born &&
+                 member->peer.incarnation < roll->born + TOGETHER_US;
   entry->ended = false;
-  entry->seen_at = now;
+  if (entry->alive)
+    entry->seen_at = now;
   if (roll->nameless_count > 0)
     forget_nameless (roll, &member->control, now);
 }
@@ -286,6 +306,24 @@
     roll->entries[i].certain &= ~UINT64_C (1);
 }
 
+/* After a loss of power of the whole fleet nobody has older members to tell of. */
+static void
+look_for_fresh_fleet (KqAgentRoll *roll)
+{
+  unsigned drawn = 0;
+  unsigned members = 0;
+  unsigned young = 0;
+  for (unsigned i = 0; i < roll->count; i++)
+    {
+      const KqRollEntry *entry = &roll->entries[i];
+      drawn += entry->drawn;
+      members += entry->member;
+      young += entry->member && entry->young;
+    }
+  if (2 * members > drawn && 2 * young > members && roll->read_at != KQ_NEVER)
+    kq_agent_roll_join (roll);
+}
+
 void
 kq_agent_roll_update (KqAgentRoll *roll, const KqMember *members, unsigned count, KqTime now)
 {
@@ -295,7 +333,7 @@
   for (unsigned i = 0; i < roll->count; i++)
     {
       before += roll->entries[i].member;
-      if (roll->entries[i].member)
+      if (roll->entries[i].member && roll->entries[i].alive)
         roll->entries[i].seen_at = now;
       roll->entries[i].member = false;
     }
@@ -310,6 +348,7 @@
     after += roll->entries[i].member;
   roll->version += before != after;
   look_for_cut (roll);
+  look_for_fresh_fleet (roll);
   look_for_missing (roll, now);
 }
 
--- a/src/version/group_query.c
+++ b/src/version/group_query.c
@@ -27,6 +27,12 @@
   return kq_members_live (group->members);
 }
 
+bool
+kq_group_settled (const KqGroup *group)
+{
+  return group->settled;
+}
+
 uint64_t *
 kq_group_ended (const void *parent, const KqGroup *group, unsigned *count)
 {
--- a/tests/unit/stream_fixture.h
+++ b/tests/unit/stream_fixture.h
@@ -129,6 +129,7 @@
   Fixture *fixture = talloc_zero (NULL, Fixture);
   fixture->roll = kq_agent_roll_new (fixture, 0);
   kq_agent_roll_read (fixture->roll, NULL, 0, 0);
+  kq_agent_roll_join (fixture->roll);
   fill_members (fixture->members, agents);
   start_router (fixture);
   set_members (fixture, agents, 0);
--- a/tests/unit/test_agent_roll.c
+++ b/tests/unit/test_agent_roll.c
@@ -52,12 +52,21 @@
   return candidates.known && candidates.missing == 0;
 }
 
+/* Return: (owned by @parent) a roll of a process that has met the others. */
+static KqAgentRoll *
+new_roll (const void *parent, KqTime now)
+{
+  KqAgentRoll *roll = kq_agent_roll_new (parent, now);
+  kq_agent_roll_join (roll);
+  return roll;
+}
+
 /* Return: (owned by @parent) a roll that has read what @roll would write. */
 static KqAgentRoll *
 read_by_newcomer (const void *parent, const KqAgentRoll *roll, KqTime now)
 {
   unsigned count;
-  KqAgentRoll *fresh = kq_agent_roll_new (parent, now);
+  KqAgentRoll *fresh = new_roll (parent, now);
   KqDirectoryEntry *entries = kq_agent_roll_entries (fresh, roll, &count);
   kq_agent_roll_read (fresh, entries, count, now);
   return fresh;
@@ -67,7 +76,7 @@
 static void
 test_roll_of_a_newcomer (void)
 {
-  KqAgentRoll *roll = kq_agent_roll_new (NULL, KQ_SECOND);
+  KqAgentRoll *roll = new_roll (NULL, KQ_SECOND);
   update (roll, 3, KQ_SECOND);
   CU_ASSERT_FALSE (complete (roll, 1, 2 * KQ_SECOND));
   CU_ASSERT_FALSE (kq_agent_roll_settled (roll, 2 * KQ_SECOND));
@@ -91,7 +100,7 @@
 static void
 test_missing_agent_counts_until_it_is_gone (void)
 {
-  KqAgentRoll *roll = kq_agent_roll_new (NULL, 0);
+  KqAgentRoll *roll = new_roll (NULL, 0);
   unsigned count;
   kq_agent_roll_read (roll, NULL, 0, 0);
   update (roll, 3, KQ_SECOND);
@@ -117,11 +126,75 @@
   talloc_free (roll);
 }
 
+/* A process that starts has read the directory, which lags, and must have met others: agents that
+ * came lately are known to these. Regression: tibeb-arena-large scale-2, where a balancer that had
+ * just started reset a stream of an agent that it did not know. */
+static void
+test_before_others_are_met (void)
+{
+  KqAgentRoll *roll = kq_agent_roll_new (NULL, 0);
+  kq_agent_roll_read (roll, NULL, 0, 0);
+  update (roll, 3, 10 * KQ_MS);
+  CU_ASSERT_FALSE (complete (roll, 1, 12 * KQ_MS));
+  unsigned version = kq_agent_roll_version (roll);
+  kq_agent_roll_join (roll);
+  CU_ASSERT_TRUE (complete (roll, 1, 300 * KQ_MS));
+  CU_ASSERT_NOT_EQUAL (version, kq_agent_roll_version (roll));
+  talloc_free (roll);
+}
+
+/* After a loss of power of all, nobody has older members to tell of, and callers need not wait.
+ * Other balancers that start in a running fleet at the same time prove nothing. */
+static void
+test_all_start_together (void)
+{
+  for (unsigned young = 0; young <= 100; young += 10)
+    {
+      KqMember members[100];
+      KqAgentRoll *old = new_roll (NULL, 0);
+      kq_agent_roll_found (old, 0);
+      for (KqTime now = 0; now <= 10 * KQ_SECOND; now += KQ_SECOND)
+        update (old, 100, now);
+      KqAgentRoll *fresh = kq_agent_roll_new (old, 11 * KQ_SECOND);
+      unsigned count;
+      KqDirectoryEntry *entries = kq_agent_roll_entries (fresh, old, &count);
+      kq_agent_roll_born (fresh, UINT64_C (1000) * KQ_SECOND);
+      kq_agent_roll_read (fresh, entries, count, 11 * KQ_SECOND);
+      fill (members, 0, 100);
+      for (unsigned i = 0; i < 100; i++)
+        members[i].peer.incarnation = (i < young ? UINT64_C (1002) : UINT64_C (960)) * KQ_SECOND;
+      kq_agent_roll_update (fresh, members, 40, 11100 * KQ_MS);
+      CU_ASSERT_FALSE (candidates_of (fresh, 1, 11100 * KQ_MS).known);
+      kq_agent_roll_update (fresh, members, 100, 11200 * KQ_MS);
+      CU_ASSERT_EQUAL (candidates_of (fresh, 1, 11200 * KQ_MS).known, young > 50);
+      talloc_free (old);
+    }
+}
+
+/* The time of an agent that dies counts from when it was suspected. */
+static void
+test_suspicion_counts (void)
+{
+  KqAgentRoll *roll = new_roll (NULL, 0);
+  KqMember members[3];
+  kq_agent_roll_read (roll, NULL, 0, 0);
+  fill (members, 0, 3);
+  kq_agent_roll_update (roll, members, 3, KQ_SECOND);
+  members[2].state = KQ_MEMBER_SUSPECT;
+  kq_agent_roll_update (roll, members, 3, 10 * KQ_SECOND);
+  CU_ASSERT_TRUE (complete (roll, 1, 10 * KQ_SECOND));
+  kq_agent_roll_update (roll, members, 2, 12500 * KQ_MS);
+  CU_ASSERT_FALSE (complete (roll, 1, 12500 * KQ_MS));
+  kq_agent_roll_advance (roll, 13 * KQ_SECOND);
+  CU_ASSERT_TRUE (complete (roll, 1, 13 * KQ_SECOND));
+  talloc_free (roll);
+}
+
 /* A process that loses most agents at once is itself cut off: it tells no caller anything. */
 static void
 test_cut_off (void)
 {
-  KqAgentRoll *roll = kq_agent_roll_new (NULL, 0);
+  KqAgentRoll *roll = new_roll (NULL, 0);
   kq_agent_roll_read (roll, NULL, 0, 0);
   update (roll, 100, KQ_SECOND);
   for (KqTime now = 2 * KQ_SECOND; now <= 10 * KQ_SECOND; now += KQ_SECOND)
@@ -139,7 +212,7 @@
 static void
 test_empty_agents_are_not_missed (void)
 {
-  KqAgentRoll *roll = kq_agent_roll_new (NULL, 0);
+  KqAgentRoll *roll = new_roll (NULL, 0);
   KqMember members[3];
   unsigned count;
   kq_agent_roll_read (roll, NULL, 0, 0);
@@ -172,7 +245,7 @@
 static void
 test_newcomers_beyond_the_directory_are_asked (void)
 {
-  KqAgentRoll *old = kq_agent_roll_new (NULL, 0);
+  KqAgentRoll *old = new_roll (NULL, 0);
   kq_agent_roll_read (old, NULL, 0, 0);
   for (KqTime now = 0; now <= 70 * KQ_SECOND; now += KQ_SECOND)
     update (old, 100, now);
@@ -199,7 +272,7 @@
 static void
 test_founding (void)
 {
-  KqAgentRoll *roll = kq_agent_roll_new (NULL, 0);
+  KqAgentRoll *roll = new_roll (NULL, 0);
   kq_agent_roll_found (roll, 50 * KQ_MS);
   for (unsigned i = 0; i <= 163; i++)
     update (roll, i, 100 * KQ_MS + (KqTime)i * 10 * KQ_MS);
@@ -219,7 +292,7 @@
 static void
 test_power_loss (void)
 {
-  KqAgentRoll *old = kq_agent_roll_new (NULL, 0);
+  KqAgentRoll *old = new_roll (NULL, 0);
   kq_agent_roll_found (old, 0);
   for (KqTime now = 0; now <= 34 * KQ_SECOND; now += 250 * KQ_MS)
     update (old, 163, now);
@@ -396,7 +469,7 @@
       kq_random_seed (&world->random, seed);
       for (unsigned i = 0; i < WORLD_BALANCERS; i++)
         {
-          world->rolls[i] = kq_agent_roll_new (NULL, 0);
+          world->rolls[i] = new_roll (NULL, 0);
           kq_agent_roll_found (world->rolls[i], 0);
           memset (world->sees[i], true, sizeof world->sees[i]);
         }
@@ -428,6 +501,9 @@
   static const KqUnitTest tests[] = {
     { "a newcomer knows who is missing from the directory", test_roll_of_a_newcomer },
     { "a missing agent counts until it is gone", test_missing_agent_counts_until_it_is_gone },
+    { "before others are met", test_before_others_are_met },
+    { "all start together", test_all_start_together },
+    { "the time of an agent that dies counts from suspicion", test_suspicion_counts },
     { "a process that is cut off", test_cut_off },
     { "agents of ended targets are not missed", test_empty_agents_are_not_missed },
     { "newcomers beyond the directory are asked", test_newcomers_beyond_the_directory_are_asked },
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -154,6 +154,7 @@
   uint32_t service = 7;
   fill (members);
   KqAgentRoll *roll = kq_agent_roll_new (scope, 0);
+  kq_agent_roll_join (roll);
   kq_agent_roll_read (roll, entries, count, 0);
   KqRollCandidates candidates = kq_agent_roll_candidates (scope, roll, &service, 1, 99, KQ_SECOND);
   CU_ASSERT_EQUAL (candidates.missing, 4);
