--- a/Makefile
+++ b/Makefile
@@ -177,8 +177,7 @@
 
 .PHONY: bench-decisions
 
-# Saves the figures of build/measured and writes docs/CAPACITY.md from them; bench-decisions and
-# measure-control give the figures.
+# Writes docs/CAPACITY.md from the table of a sweep on the users' bench.
 capacity:
 	tools/capacity.py
 
