The directory is read as soon as the store answers

Ruled out: a shorter pause between tries, which costs calls while the store is away.

Change: an answer to the watch of the configuration reads the directory at once. Besides: what an agent says of its target is decided in stream_holder.c, with a test; entries that another version wrote are counted in a metric; a test that repeated ends of lost streams are not searched for again.

--- a/include/kumquat/internal/stream_directory.h
+++ b/include/kumquat/internal/stream_directory.h
@@ -25,6 +25,10 @@
  * roll has taken the members */
 void kq_stream_directory_members_changed (KqStreamDirectory *directory);
 
+/** kq_stream_directory_store_back - the store has answered another call: a directory that could not
+ * be read is read at once */
+void kq_stream_directory_store_back (KqStreamDirectory *directory);
+
 /** kq_stream_directory_heard - takes the directory that a peer spreads */
 void kq_stream_directory_heard (KqStreamDirectory *directory, const KqDocument *document);
 
--- a/include/kumquat/internal/stream_holder.h
+++ b/include/kumquat/internal/stream_holder.h
@@ -4,6 +4,7 @@
 
 #include "kumquat/internal/admission.h"
 #include "kumquat/internal/target_life.h"
+#include "kumquat/view.h"
 
 typedef struct KqStreamHolder KqStreamHolder;
 
@@ -97,6 +98,11 @@
 /** kq_stream_holder_takes_new - Return: whether a new stream could be taken, load aside */
 bool kq_stream_holder_takes_new (const KqStreamHolder *holder);
 
+/** kq_stream_holder_phase - Return: what this agent says of its target. An agent is told to stop
+ * when its target has ended; one that has not heard of it since its own start came back after the
+ * target's last word, as after a loss of power in the middle of a release, and says so too. */
+KqTargetPhase kq_stream_holder_phase (const KqStreamHolder *holder);
+
 KqTime kq_stream_holder_next_tick (const KqStreamHolder *holder);
 void kq_stream_holder_tick (KqStreamHolder *holder, KqTime now);
 
--- a/include/kumquat/internal/stream_metrics.h
+++ b/include/kumquat/internal/stream_metrics.h
@@ -3,6 +3,7 @@
 
 #include "kumquat/control.h"
 #include "kumquat/http_server.h"
+#include "kumquat/internal/directory.h"
 #include "kumquat/internal/stream_holder.h"
 #include "kumquat/internal/stream_router.h"
 #include "kumquat/metrics.h"
@@ -13,6 +14,9 @@
                                const KqRouteTable *routes, unsigned serving_targets,
                                bool store_reachable, uint64_t malformed);
 
+/** kq_stream_metrics_directory - sets a balancer's series of entries that another version wrote */
+void kq_stream_metrics_directory (KqMetrics *metrics, KqDirectoryOddities oddities);
+
 /** kq_stream_metrics_holder - sets an agent's series */
 void kq_stream_metrics_holder (KqMetrics *metrics, const KqStreamHolderStats *stats,
                                const KqTargetLoad *load, const KqTargetLife *life,
--- a/src/connection/stream_holder.c
+++ b/src/connection/stream_holder.c
@@ -102,6 +102,17 @@
   return ready && !holder->leaving;
 }
 
+KqTargetPhase
+kq_stream_holder_phase (const KqStreamHolder *holder)
+{
+  KqTargetState state = holder->life.report.state;
+  if (kq_stream_holder_takes_new (holder))
+    return KQ_PHASE_SERVING;
+  if (state == KQ_TARGET_GONE || (state == KQ_TARGET_UNKNOWN && holder->leaving))
+    return KQ_PHASE_EMPTY;
+  return state == KQ_TARGET_UNKNOWN ? KQ_PHASE_STARTING : KQ_PHASE_DRAINING;
+}
+
 void
 kq_stream_holder_leave (KqStreamHolder *holder)
 {
--- a/src/process/stream_agent.c
+++ b/src/process/stream_agent.c
@@ -76,21 +76,10 @@
   uint64_t malformed;
 } StreamAgent;
 
-/* An agent is told to stop when its target has ended. One that has not heard of it since its own
- * start came back after the target's last word, as after a loss of power in the middle of a
- * release. */
 static void
 update_phase (StreamAgent *agent)
 {
-  KqTargetState state = kq_stream_holder_target (agent->holder)->report.state;
-  KqTargetPhase phase = KQ_PHASE_STARTING;
-  bool ended = state == KQ_TARGET_GONE || (state == KQ_TARGET_UNKNOWN && agent->stop_at != 0);
-  if (kq_stream_holder_takes_new (agent->holder))
-    phase = KQ_PHASE_SERVING;
-  else if (ended)
-    phase = KQ_PHASE_EMPTY;
-  else if (state != KQ_TARGET_UNKNOWN)
-    phase = KQ_PHASE_DRAINING;
+  KqTargetPhase phase = kq_stream_holder_phase (agent->holder);
   if (phase != kq_control_self (agent->control)->phase)
     kq_control_set_phase (agent->control, phase);
 }
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -215,6 +215,8 @@
               kq_log_quote (reply->error.message, quoted));
       return;
     }
+  if (balancer->directory != NULL)
+    kq_stream_directory_store_back (balancer->directory);
   for (unsigned i = 0; i < reply->count; i++)
     {
       const KqStoreValue *value = &reply->values[i];
@@ -337,6 +339,8 @@
       const KqRouteTable *routes = kq_stream_router_routes (balancer->router);
       kq_stream_metrics_router (balancer->metrics, &stats, routes, serving_targets (balancer),
                                 kq_store_reachable (balancer->store), balancer->malformed);
+      kq_stream_metrics_directory (balancer->metrics,
+                                   kq_stream_directory_oddities (balancer->directory));
       kq_stream_metrics_respond (request, balancer->metrics, balancer->control);
     }
   else
--- a/src/process/stream_directory.c
+++ b/src/process/stream_directory.c
@@ -284,6 +284,13 @@
   kq_timer_set (directory->timer, directory->read_at < due ? directory->read_at : due);
 }
 
+void
+kq_stream_directory_store_back (KqStreamDirectory *directory)
+{
+  if (!directory->introduced && !directory->was_read && !directory->calling)
+    read_directory (directory);
+}
+
 void
 kq_stream_directory_heard (KqStreamDirectory *directory, const KqDocument *document)
 {
--- a/src/process/stream_metrics.c
+++ b/src/process/stream_metrics.c
@@ -84,6 +84,23 @@
   set_counter (metrics, "kumquat_streams_lost_total", "Streams that nobody held.", stats->lost);
 }
 
+void
+kq_stream_metrics_directory (KqMetrics *metrics, KqDirectoryOddities oddities)
+{
+  const struct
+  {
+    const char *reason;
+    unsigned count;
+  } kinds[] = { { "nameless", oddities.nameless },
+                { "unknown-role", oddities.unknown_role },
+                { "repeated", oddities.repeated } };
+  for (unsigned i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+    kq_metric_set (kq_metrics_counter (metrics, "kumquat_directory_doubtful_total",
+                                       "Entries of a directory that another version wrote.",
+                                       "reason", kinds[i].reason, NULL),
+                   kinds[i].count);
+}
+
 static void
 set_declined (KqMetrics *metrics, const KqStreamHolderStats *stats)
 {
--- a/tests/unit/test_stream_holder.c
+++ b/tests/unit/test_stream_holder.c
@@ -325,6 +325,33 @@
   talloc_free (fixture);
 }
 
+/* Regression: fstra-entries-grown trouble-1. Agents whose targets had ended lost power before they
+ * left; told to stop after that, they said nothing of their targets and were missed. */
+static void
+test_agent_that_leaves_unheard_has_no_target (void)
+{
+  static const KqStreamHolderOps ops = { take_answer, deliver, to_caller, log_event, NULL };
+  static const KqStreamHolderParams params = { .agent = AGENT, .service = SERVICE };
+  KqTargetReport report = {
+    .state = KQ_TARGET_READY, .service = SERVICE, .slots = SLOTS, .born_ms = 5000, .sequence = 1
+  };
+  KqStreamHolder *holder = kq_stream_holder_new (NULL, &params, &ops, NULL, 0);
+  CU_ASSERT_EQUAL (kq_stream_holder_phase (holder), KQ_PHASE_STARTING);
+  kq_stream_holder_leave (holder);
+  CU_ASSERT_EQUAL (kq_stream_holder_phase (holder), KQ_PHASE_EMPTY);
+  talloc_free (holder);
+  /* One that is rolled has heard of its target, which lives on. */
+  holder = kq_stream_holder_new (NULL, &params, &ops, NULL, 0);
+  kq_stream_holder_report (holder, &report, 0, 0);
+  CU_ASSERT_EQUAL (kq_stream_holder_phase (holder), KQ_PHASE_SERVING);
+  kq_stream_holder_leave (holder);
+  CU_ASSERT_EQUAL (kq_stream_holder_phase (holder), KQ_PHASE_DRAINING);
+  report.state = KQ_TARGET_GONE;
+  kq_stream_holder_report (holder, &report, 0, 1);
+  CU_ASSERT_EQUAL (kq_stream_holder_phase (holder), KQ_PHASE_EMPTY);
+  talloc_free (holder);
+}
+
 static void
 test_wrong_service (void)
 {
@@ -474,6 +501,7 @@
     { "a withdrawn stream is not opened", test_withdrawn },
     { "draining", test_draining },
     { "a target that has said nothing takes nothing", test_unknown_target_takes_nothing },
+    { "an agent that leaves unheard has no target", test_agent_that_leaves_unheard_has_no_target },
     { "another service or agent", test_wrong_service },
     { "a bounced opening", test_bounced_opening },
     { "a silent target", test_silent_target },
--- a/tests/unit/test_stream_search.c
+++ b/tests/unit/test_stream_search.c
@@ -165,6 +165,28 @@
   talloc_free (fixture);
 }
 
+/* Regression: fstra-entries-grown trouble-1. Callers that gave up repeated the end of their
+ * streams, and each balancer searched for 200 of these a second. A caller that sends data is told
+ * at once. */
+static void
+test_repeated_end_is_not_searched_again (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK | KQ_SEGMENT_FIN, 0);
+  nobody_holds (fixture, AGENTS, 1, KQ_MS);
+  for (KqTime now = 400 * KQ_MS; now <= 4 * KQ_SECOND; now += 400 * KQ_MS)
+    {
+      caller_asks (fixture, 1, KQ_SEGMENT_ACK | KQ_SEGMENT_FIN, now);
+      kq_stream_router_tick (fixture->router, now);
+    }
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_FIND), AGENTS);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  caller_asks (fixture, 1, KQ_SEGMENT_ACK, 4100 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->resets, 1);
+  CU_ASSERT_EQUAL (count_sent (fixture, KQ_FRAME_FIND), AGENTS);
+  talloc_free (fixture);
+}
+
 /* An answer to an earlier question is not taken for an agent that has not answered this one. */
 static void
 test_late_answers_count_for_their_question (void)
@@ -351,6 +373,7 @@
     { "a lost stream is searched again", test_lost_stream_is_searched_again },
     { "a lost stream is found again", test_lost_stream_is_found_again },
     { "a caller that does not wait is not told", test_caller_that_does_not_wait_is_not_told },
+    { "a repeated end is not searched again", test_repeated_end_is_not_searched_again },
     { "late answers count for their question", test_late_answers_count_for_their_question },
     { "all young agents are probed", test_all_young_agents_are_probed },
     { "no young agent holds the stream", test_no_young_agent_holds },
