An agent declines a stream that continues with another target

The caller's opening went to a balancer that was frozen, its copy opened the stream elsewhere; the frozen balancer woke, had another target accept the old opening and remembered that agent as owner. 13 s later the caller's segments went there. The agent had been restarted, and took 'acknowledges another target' for 'unknown': it sent each segment to its target as a probe. The target holds the stream half open and neither answers nor returns it, so the balancer learned nothing until the caller gave up. Change: such an entry is marked superseded: forwarded segments, queries and probes of it are declined at once, so the balancer searches and finds the owner. The window is what the target has sent plus one window, no longer 64 MB.

--- a/include/kumquat/internal/stream_table.h
+++ b/include/kumquat/internal/stream_table.h
@@ -39,6 +39,7 @@
  * @waited: streams that waited for a slot
  * @requests: requests that were answered
  * @gone: streams that the target lost, by a restart or otherwise
+ * @superseded: streams that this target accepted while their callers continued with another one
  * @streams: gauge: streams in the table
  */
 typedef struct
@@ -54,6 +55,7 @@
   uint64_t waited;
   uint64_t requests;
   uint64_t gone;
+  uint64_t superseded;
   uint64_t streams;
 } KqStreamTableStats;
 
--- a/include/kumquat/internal/stream_table_state.h
+++ b/include/kumquat/internal/stream_table_state.h
@@ -38,6 +38,7 @@
  * @request_pending: a request was sent to the target and is not answered yet
  * @caller_ended: the caller has sent a FIN or a reset
  * @target_ended: the target has sent a FIN
+ * @superseded: another target has accepted the opening segment too, and the caller continues there
  * @target_isn_known: @target_isn is known
  * @target_isn: initial sequence number of the target
  * @target_next_sequence: sequence number after the last data of the target
@@ -61,6 +62,7 @@
   bool request_pending;
   bool caller_ended;
   bool target_ended;
+  bool superseded;
   bool target_isn_known;
   uint32_t target_isn;
   uint32_t target_next_sequence;
--- a/src/connection/stream_table.c
+++ b/src/connection/stream_table.c
@@ -29,8 +29,8 @@
  * and must not occupy a slot. */
 #define REQUEST_WAIT_US (60 * KQ_MS)
 
-/* Acknowledgements of one stream stay within this range. */
-#define WINDOW_BYTES (1u << 26)
+/* Data that a target sends ahead of the caller's acknowledgements. */
+#define TARGET_WINDOW_BYTES 19200
 
 /* Maximum difference of the start times of an agent and a target that started together. */
 #define START_SKEW_US (200 * KQ_MS)
@@ -196,7 +196,7 @@
              const KqSegment *segment, KqTime now)
 {
   KqOwnedStream *owned = kq_owned_stream_find (stream_table, &frame->key);
-  if (owned != NULL && owned->target_ended && owned->caller_ended)
+  if (owned != NULL && (owned->superseded || (owned->target_ended && owned->caller_ended)))
     {
       kq_owned_stream_free (stream_table, owned);
       owned = NULL;
@@ -238,12 +238,27 @@
 }
 
 /* Two targets can accept the same opening segment; the caller continues with one of them, and its
- * acknowledgements lie outside the other's sequence number window. */
+ * acknowledgements lie outside the other's sequence numbers. */
 static bool
 acknowledges_another_target (const KqOwnedStream *owned, const KqSegment *segment)
 {
+  uint32_t sent = owned->target_next_sequence - owned->target_isn;
   return owned->target_isn_known && (segment->flags & KQ_SEGMENT_ACK) != 0 &&
-         segment->acknowledged - owned->target_isn > WINDOW_BYTES;
+         segment->acknowledged - owned->target_isn > sent + TARGET_WINDOW_BYTES;
+}
+
+/* The target keeps the stream half open and neither answers nor returns its segments. The entry
+ * stays, so that no segment is sent to this target as a probe. */
+static void
+mark_superseded (KqStreamTable *stream_table, KqOwnedStream *owned)
+{
+  if (owned->superseded)
+    return;
+  owned->superseded = true;
+  stream_table->stats.superseded++;
+  kq_owned_stream_release_slot (stream_table, owned, -1);
+  kq_holder_log (stream_table, LOG_INFO, "stream-superseded", &owned->key,
+                 "reason=\"the caller continues with another target\"");
 }
 
 /* A retransmitted segment carries no new request. */
@@ -264,17 +279,19 @@
                   const KqSegment *segment, KqTime now)
 {
   KqOwnedStream *owned = kq_owned_stream_find (stream_table, &frame->key);
-  if (owned != NULL &&
-      (owned->state == KQ_OWNED_QUEUED || acknowledges_another_target (owned, segment)))
+  if (owned != NULL && owned->state == KQ_OWNED_QUEUED)
     owned = NULL;
+  if (owned != NULL && acknowledges_another_target (owned, segment))
+    mark_superseded (stream_table, owned);
   if (owned == NULL && (stream_table->incomplete || frame->type == KQ_FRAME_PROBE))
     {
       send_probe (stream_table, from, frame, segment);
       return;
     }
-  if (owned == NULL)
+  if (owned == NULL || owned->superseded)
     {
-      kq_stream_table_answer (stream_table, from, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, 0,
+      kq_stream_table_answer (stream_table, from, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN,
+                              frame->type == KQ_FRAME_PROBE ? frame->transaction_id : 0,
                               &frame->key);
       return;
     }
@@ -297,13 +314,13 @@
 handle_query (KqStreamTable *stream_table, const KqAddress *from, const KqStreamFrame *frame)
 {
   KqOwnedStream *owned = kq_owned_stream_find (stream_table, &frame->key);
-  if (owned != NULL && owned->state == KQ_OWNED_OPEN)
+  if (owned != NULL && owned->state == KQ_OWNED_OPEN && !owned->superseded)
     {
       owned->balancer = *from;
       kq_stream_table_answer (stream_table, from, KQ_FRAME_OWNED, KQ_REFUSAL_NONE,
                               frame->transaction_id, &frame->key);
     }
-  else if (stream_table->incomplete)
+  else if (stream_table->incomplete && (owned == NULL || !owned->superseded))
     kq_stream_table_answer (stream_table, from, KQ_FRAME_UNDECIDED, KQ_REFUSAL_NONE,
                             frame->transaction_id, &frame->key);
   else
--- a/src/connection/stream_table_target.c
+++ b/src/connection/stream_table_target.c
@@ -134,6 +134,7 @@
         kq_owned_stream_answer (stream_table, owned, KQ_FRAME_OWNED, KQ_REFUSAL_NONE);
       if (segment->payload_size > 0)
         {
+          owned->superseded = false;
           advance_target_sequence (owned, segment);
           kq_admission_count_answer_bytes (&stream_table->admission, segment->payload_size);
           handle_answer_data (stream_table, owned, now);
--- a/src/process/stream_metrics.c
+++ b/src/process/stream_metrics.c
@@ -140,6 +140,10 @@
   set_counter (metrics, "kumquat_streams_learnt_total",
                "Streams that the target already served when this agent discovered them.",
                stats->learnt);
+  set_counter (
+      metrics, "kumquat_streams_superseded_total",
+      "Streams that this target and another one accepted, and that continue with the other.",
+      stats->superseded);
   set_counter (metrics, "kumquat_streams_gone_total", "Streams that the target no longer serves.",
                stats->gone);
   set_counter (metrics, "kumquat_requests_total", "Requests that the target answered.",
--- a/tests/unit/test_stream_table.c
+++ b/tests/unit/test_stream_table.c
@@ -461,6 +461,30 @@
   talloc_free (fixture);
 }
 
+/* Regression: an agent that had restarted sent the segments of such a stream to its target as
+ * probes for seconds. The target kept the stream half open and did not return them. */
+static void
+test_superseded_stream_is_not_probed (void)
+{
+  Fixture *fixture = set_up (false);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  unsigned before = fixture->delivered;
+  KqSegment segment = segment_of (1, KQ_SEGMENT_ACK, 2, TARGET_ISN + 1000000, 100);
+  send_frame (fixture, KQ_FRAME_FORWARD, &segment, false, 2 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_DECLINED);
+  CU_ASSERT_EQUAL (fixture->answer.transaction_id, 0);
+  KqSegment query = segment_of (1, 0, 0, 0, 0);
+  send_frame (fixture, KQ_FRAME_QUERY, &query, false, 3 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_DECLINED);
+  send_frame (fixture, KQ_FRAME_PROBE, &segment, false, 4 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_DECLINED);
+  CU_ASSERT_EQUAL (fixture->answer.transaction_id, 40);
+  CU_ASSERT_EQUAL (fixture->delivered, before);
+  CU_ASSERT_EQUAL (kq_stream_table_stats (fixture->stream_table).superseded, 1);
+  talloc_free (fixture);
+}
+
 static void
 test_restarted_agent_probes_its_target (void)
 {
@@ -517,6 +541,8 @@
     { "a restarted target owns no streams", test_restarted_target_owns_nothing },
     { "balancers are not notified of closed streams", test_closed_streams_are_not_notified },
     { "an acknowledgement for another target is declined", test_answer_to_another_target },
+    { "a stream that continues with another target is not probed",
+      test_superseded_stream_is_not_probed },
     { "a restarted agent probes its target", test_restarted_agent_probes_its_target },
     { "an agent with a complete table declines at once", test_complete_agent_declines_at_once },
   };
