What a socket kept during a pause is outdated

Ruled out: the copies' number alone (the first copy in the socket has number 0); a threshold of one second (the fabric takes an instance out after two missed checks half a second apart). Change: KqPauseMonitor reports a gap of 500 ms or more between events; the control plane ticks every 50 ms. After it, what the sockets kept is handled as outdated until they are empty: a balancer forwards segments of streams that are open here and drops the rest, with its offers and searches under way; an agent delivers segments of open streams, drops offers, queries and probes, and declines queued streams that have waited too long before it opens any. Segments of the target are delivered as before. Event 'resumed', two counters.

--- a/include/kumquat/control.h
+++ b/include/kumquat/control.h
@@ -15,6 +15,7 @@
  * struct KqControlOps - callbacks of the control plane; all pointers are borrowed
  * @members_changed: a member joined, left, died, or changed its announced data
  * @document_changed: a newer document of a service was accepted
+ * @ticked: (nullable): called every 50 ms, before the control plane handles its own timeouts
  * @incarnation_changed: this process continues under the new @incarnation, because others declared
  * it dead while it was paused, or because another process used its name
  */
@@ -22,6 +23,7 @@
 {
   void (*members_changed) (void *data);
   void (*document_changed) (const KqDocument *document, void *data);
+  void (*ticked) (void *data);
   void (*incarnation_changed) (uint64_t incarnation, void *data);
 } KqControlOps;
 
--- a/include/kumquat/internal/stream_process.h
+++ b/include/kumquat/internal/stream_process.h
@@ -20,7 +20,10 @@
 /**
  * struct KqStreamSocket - a datagram socket on the event loop
  * @fd: file descriptor
+ * @before_batch: (nullable): called before the datagrams of one event are received
  * @receive: called for each datagram
+ * @outdated: number of datagrams that may still have arrived before the process was paused; set by
+ * kq_stream_socket_mark_outdated(), 0 once the socket was empty
  * @connection_refused: (nullable): called when the peer of a connected socket refused a datagram
  * (ECONNREFUSED)
  * @batch_done: (nullable): called after the datagrams of one event were received
@@ -29,6 +32,8 @@
 typedef struct
 {
   int fd;
+  unsigned outdated;
+  void (*before_batch) (void *data);
   void (*receive) (const KqAddress *from, const uint8_t *bytes, size_t size, void *data);
   void (*connection_refused) (void *data);
   void (*batch_done) (void *data);
@@ -40,6 +45,10 @@
 int kq_stream_socket_open (const void *parent, struct tevent_context *ev, KqStreamSocket *socket,
                            const KqAddress *local, const KqAddress *peer, KqError *error);
 
+/** kq_stream_socket_mark_outdated - the process was paused, so the datagrams that the socket keeps
+ * are as old as the pause is long */
+void kq_stream_socket_mark_outdated (KqStreamSocket *socket);
+
 /** kq_stream_socket_send - sends a datagram; an error of the kernel is treated like a loss in the
  * network */
 void kq_stream_socket_send (const KqStreamSocket *socket, const KqAddress *to, const uint8_t *bytes,
--- a/include/kumquat/internal/stream_router.h
+++ b/include/kumquat/internal/stream_router.h
@@ -36,6 +36,7 @@
  * @refused: new streams refused with a reset
  * @no_route: segments to an address without a route
  * @dropped: segments dropped because their stream has no route or owner, or was refused
+ * @outdated: segments dropped because they waited while the process was paused
  * @found: searches that found the owner
  * @lost: searches that found no owner
  * @searches: searches for the owner of a stream
@@ -56,6 +57,7 @@
   uint64_t refused;
   uint64_t no_route;
   uint64_t dropped;
+  uint64_t outdated;
   uint64_t found;
   uint64_t lost;
   uint64_t searches;
@@ -92,6 +94,17 @@
 /** kq_stream_router_handle_segment - handles a segment of a caller */
 void kq_stream_router_handle_segment (KqStreamRouter *router, const KqSegment *segment, KqTime now);
 
+/** kq_stream_router_handle_outdated_segment - handles a segment of a caller that waited here while
+ * this process was paused. It is forwarded if its stream is open, and dropped otherwise: the caller
+ * has retransmitted it meanwhile, and may have opened the stream through another balancer. */
+void kq_stream_router_handle_outdated_segment (KqStreamRouter *router, const KqSegment *segment,
+                                               KqTime now);
+
+/** kq_stream_router_resume - handles that this process was paused: offers and searches that were
+ * under way are dropped without a reset, since their callers may have an owner elsewhere. Open
+ * streams stay; an owner that is wrong declines the next segment. */
+void kq_stream_router_resume (KqStreamRouter *router);
+
 /** kq_stream_router_handle_frame - handles an answer of an agent */
 void kq_stream_router_handle_frame (KqStreamRouter *router, const KqStreamFrame *frame, KqTime now);
 
--- a/include/kumquat/internal/stream_table.h
+++ b/include/kumquat/internal/stream_table.h
@@ -40,6 +40,7 @@
  * @requests: requests that were answered
  * @gone: streams that the target lost, by a restart or otherwise
  * @superseded: streams that this target accepted while their callers continued with another one
+ * @outdated: frames dropped because they waited while the process was paused
  * @streams: gauge: streams in the table
  */
 typedef struct
@@ -56,6 +57,7 @@
   uint64_t requests;
   uint64_t gone;
   uint64_t superseded;
+  uint64_t outdated;
   uint64_t streams;
 } KqStreamTableStats;
 
@@ -90,6 +92,17 @@
                                    const KqStreamFrame *frame, const KqSegment *segment,
                                    KqTime now);
 
+/** kq_stream_table_handle_outdated_frame - handles a frame that waited here while this process was
+ * paused. Segments of open streams are delivered; the rest is dropped, since the balancer has
+ * turned to another agent meanwhile. */
+void kq_stream_table_handle_outdated_frame (KqStreamTable *stream_table, const KqAddress *from,
+                                            const KqStreamFrame *frame, const KqSegment *segment,
+                                            KqTime now);
+
+/** kq_stream_table_resume - handles that this process was paused: queued streams that have waited
+ * too long are declined before any of them is opened */
+void kq_stream_table_resume (KqStreamTable *stream_table, KqTime now);
+
 /** kq_stream_table_handle_target_segment - handles a segment that the target sent or returned */
 void kq_stream_table_handle_target_segment (KqStreamTable *stream_table, const KqSegment *segment,
                                             KqTime now);
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -217,6 +217,30 @@
     search_stream (router, NULL, segment, now);
 }
 
+void
+kq_stream_router_handle_outdated_segment (KqStreamRouter *router, const KqSegment *segment,
+                                          KqTime now)
+{
+  KqStream *stream = kq_stream_find (router, &segment->key);
+  router->stats.segments++;
+  if (stream != NULL && stream->state == KQ_STREAM_OPEN && (segment->flags & KQ_SEGMENT_SYN) == 0)
+    handle_known_segment (router, stream, segment, now);
+  else
+    router->stats.outdated++;
+}
+
+void
+kq_stream_router_resume (KqStreamRouter *router)
+{
+  KqStream *stream, *next;
+  for (stream = TAILQ_FIRST (&router->by_last_use); stream != NULL; stream = next)
+    {
+      next = TAILQ_NEXT (stream, by_last_use);
+      if (stream->state != KQ_STREAM_OPEN && stream->state != KQ_STREAM_REFUSED)
+        kq_stream_free (router, stream);
+    }
+}
+
 static void
 handle_owned (KqStreamRouter *router, KqStream *stream, KqStreamTarget *target, KqTime now)
 {
--- a/src/connection/stream_table.c
+++ b/src/connection/stream_table.c
@@ -374,6 +374,18 @@
     }
 }
 
+void
+kq_stream_table_handle_outdated_frame (KqStreamTable *stream_table, const KqAddress *from,
+                                       const KqStreamFrame *frame, const KqSegment *segment,
+                                       KqTime now)
+{
+  const KqOwnedStream *owned = kq_owned_stream_find (stream_table, &frame->key);
+  if (frame->type == KQ_FRAME_FORWARD && owned != NULL && owned->state == KQ_OWNED_OPEN)
+    kq_stream_table_handle_frame (stream_table, from, frame, segment, now);
+  else
+    stream_table->stats.outdated++;
+}
+
 void
 kq_stream_table_target_unreachable (KqStreamTable *stream_table, KqTime now)
 {
@@ -438,6 +450,12 @@
     }
 }
 
+void
+kq_stream_table_resume (KqStreamTable *stream_table, KqTime now)
+{
+  decline_useless (stream_table, now);
+}
+
 KqTime
 kq_stream_table_next_tick (const KqStreamTable *stream_table)
 {
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -143,6 +143,8 @@
   KqControl *control = data;
   KqTime now = kq_clock_now ();
   kq_timer_set (control->timer, now + KQ_GROUP_TICK_US);
+  if (control->ops.ticked != NULL)
+    control->ops.ticked (control->data);
   kq_group_tick (control->group, now);
 }
 
--- a/src/process/stream_agent.c
+++ b/src/process/stream_agent.c
@@ -9,6 +9,7 @@
 #include "kumquat/control.h"
 #include "kumquat/http_server.h"
 #include "kumquat/internal/clock.h"
+#include "kumquat/internal/pause_monitor.h"
 #include "kumquat/internal/program_parts.h"
 #include "kumquat/internal/stream_table.h"
 #include "kumquat/internal/stream_metrics.h"
@@ -70,6 +71,7 @@
   KqStreamSocket data;
   KqStreamSocket target;
   KqStreamSocket segments;
+  KqPauseMonitor pause_monitor;
   uint16_t callers_port;
   uint32_t service;
   KqTimer *timer;
@@ -99,10 +101,25 @@
   kq_timer_set (agent->timer, kq_stream_table_next_tick (agent->holder));
 }
 
+/* Called before any event that could treat what the sockets kept during a pause as new. */
+static void
+check_pause (void *data)
+{
+  StreamAgent *agent = data;
+  KqTime now = kq_clock_now ();
+  KqTime pause = kq_pause_monitor_event (&agent->pause_monitor, now);
+  if (pause == 0)
+    return;
+  kq_log (LOG_NOTICE, "resumed", "paused_ms=%lld", (long long)(pause / KQ_MS));
+  kq_stream_socket_mark_outdated (&agent->data);
+  kq_stream_table_resume (agent->holder, now);
+}
+
 static void
 on_tick (void *data)
 {
   StreamAgent *agent = data;
+  check_pause (agent);
   kq_stream_table_tick (agent->holder, kq_clock_now ());
   batch_done (agent);
 }
@@ -130,7 +147,10 @@
     }
   if (frame.segment != NULL)
     frame.key = segment.key;
-  kq_stream_table_handle_frame (agent->holder, from, &frame, &segment, kq_clock_now ());
+  if (agent->data.outdated > 0)
+    kq_stream_table_handle_outdated_frame (agent->holder, from, &frame, &segment, kq_clock_now ());
+  else
+    kq_stream_table_handle_frame (agent->holder, from, &frame, &segment, kq_clock_now ());
 }
 
 static void
@@ -298,6 +318,7 @@
 {
   static const KqControlOps ops = { .members_changed = members_changed,
                                     .document_changed = document_changed,
+                                    .ticked = check_pause,
                                     .incarnation_changed = kq_stream_log_incarnation_changed };
   agent->control = kq_stream_control_new (agent, agent->ev, agent->settings, KQ_ROLE_AGENT,
                                           agent->service, &ops, agent, error);
@@ -325,8 +346,12 @@
   KqAddress data = kq_settings_address (agent->settings, "data.address");
   KqAddress target = kq_settings_address (agent->settings, "target.address");
   KqAddress segments = kq_settings_address (agent->settings, "target.segments_address");
-  agent->data = (KqStreamSocket){ .receive = receive_frame, .batch_done = batch_done };
-  agent->segments = (KqStreamSocket){ .receive = receive_segment, .batch_done = batch_done };
+  agent->data = (KqStreamSocket){ .before_batch = check_pause,
+                                  .receive = receive_frame,
+                                  .batch_done = batch_done };
+  agent->segments = (KqStreamSocket){ .before_batch = check_pause,
+                                      .receive = receive_segment,
+                                      .batch_done = batch_done };
   agent->target = (KqStreamSocket){ .receive = reject_datagram,
                                     .connection_refused = on_target_refused,
                                     .batch_done = batch_done };
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -9,6 +9,7 @@
 #include "kumquat/control.h"
 #include "kumquat/http_server.h"
 #include "kumquat/internal/clock.h"
+#include "kumquat/internal/pause_monitor.h"
 #include "kumquat/internal/program_parts.h"
 #include "kumquat/internal/ready_checks.h"
 #include "kumquat/internal/stream_directory.h"
@@ -80,6 +81,7 @@
   KqStreamDirectory *directory;
   KqHttpServer *http;
   KqReadyChecks *ready;
+  KqPauseMonitor pause_monitor;
   KqMetrics *metrics;
   KqMetric *open_latency;
   KqStreamSocket callers;
@@ -110,10 +112,25 @@
   set_timer (data);
 }
 
+/* Called before any event that could treat what the sockets kept during a pause as new. */
+static void
+check_pause (void *data)
+{
+  StreamBalancer *balancer = data;
+  KqTime pause = kq_pause_monitor_event (&balancer->pause_monitor, kq_clock_now ());
+  if (pause == 0)
+    return;
+  kq_log (LOG_NOTICE, "resumed", "paused_ms=%lld", (long long)(pause / KQ_MS));
+  kq_stream_socket_mark_outdated (&balancer->callers);
+  kq_stream_socket_mark_outdated (&balancer->data);
+  kq_stream_router_resume (balancer->router);
+}
+
 static void
 on_tick (void *data)
 {
   StreamBalancer *balancer = data;
+  check_pause (balancer);
   kq_stream_router_tick (balancer->router, kq_clock_now ());
   set_timer (balancer);
 }
@@ -136,7 +153,10 @@
       reject_malformed (balancer, from, &error);
       return;
     }
-  kq_stream_router_handle_segment (balancer->router, &segment, kq_clock_now ());
+  if (balancer->callers.outdated > 0)
+    kq_stream_router_handle_outdated_segment (balancer->router, &segment, kq_clock_now ());
+  else
+    kq_stream_router_handle_segment (balancer->router, &segment, kq_clock_now ());
 }
 
 static void
@@ -145,6 +165,8 @@
   StreamBalancer *balancer = data;
   KqStreamFrame frame;
   KqError error = { 0 };
+  if (balancer->data.outdated > 0)
+    return;
   if (kq_stream_frame_decode (bytes, size, &frame, &error) < 0)
     {
       reject_malformed (balancer, from, &error);
@@ -400,6 +422,7 @@
 {
   static const KqControlOps ops = { .members_changed = members_changed,
                                     .document_changed = document_changed,
+                                    .ticked = check_pause,
                                     .incarnation_changed = kq_stream_log_incarnation_changed };
   balancer->control = kq_stream_control_new (balancer, balancer->ev, balancer->settings,
                                              KQ_ROLE_BALANCER, 0, &ops, balancer, error);
@@ -417,8 +440,12 @@
   KqAddress data = kq_settings_address (settings, "data.address");
   KqAddress http = kq_settings_address (settings, "http.address");
   balancer->callers_address = kq_settings_address (settings, "callers.address");
-  balancer->callers = (KqStreamSocket){ .receive = receive_segment, .batch_done = batch_done };
-  balancer->data = (KqStreamSocket){ .receive = receive_frame, .batch_done = batch_done };
+  balancer->callers = (KqStreamSocket){ .before_batch = check_pause,
+                                        .receive = receive_segment,
+                                        .batch_done = batch_done };
+  balancer->data = (KqStreamSocket){ .before_batch = check_pause,
+                                     .receive = receive_frame,
+                                     .batch_done = batch_done };
   balancer->callers.data = balancer;
   balancer->data.data = balancer;
   if (kq_stream_socket_open (balancer, balancer->ev, &balancer->data, &data, NULL, error) < 0 ||
--- a/src/process/stream_metrics.c
+++ b/src/process/stream_metrics.c
@@ -61,6 +61,9 @@
                malformed);
   set_counter (metrics, "kumquat_segments_dropped_total", "Segments dropped without a receiver.",
                stats->dropped);
+  set_counter (metrics, "kumquat_segments_outdated_total",
+               "Segments dropped because they waited while the process was paused.",
+               stats->outdated);
   set_counter (metrics, "kumquat_streams_opened_total", "Streams that a target accepted.",
                stats->opened);
   set_counter (metrics, "kumquat_offers_total", "Offers of new streams to agents.", stats->offers);
@@ -140,6 +143,8 @@
   set_counter (metrics, "kumquat_streams_learnt_total",
                "Streams that the target already served when this agent discovered them.",
                stats->learnt);
+  set_counter (metrics, "kumquat_frames_outdated_total",
+               "Frames dropped because they waited while the process was paused.", stats->outdated);
   set_counter (
       metrics, "kumquat_streams_superseded_total",
       "Streams that this target and another one accepted, and that continue with the other.",
--- a/src/process/stream_socket.c
+++ b/src/process/stream_socket.c
@@ -11,6 +11,9 @@
 /* Batches received per readiness event of the socket, so that other events are not starved. */
 #define BATCHES_PER_EVENT 4
 
+/* Datagrams that a receive buffer of 64 KiB holds at most, with 64 bytes for each. */
+#define BUFFERED_MAX 1024
+
 /**
  * struct Descriptor - file descriptor that is closed when its talloc parent is freed
  */
@@ -46,9 +49,18 @@
   (void)flags;
   if (stream->connection_refused != NULL && is_refused (stream->fd))
     stream->connection_refused (stream->data);
+  if (stream->before_batch != NULL)
+    stream->before_batch (stream->data);
   for (unsigned i = 0; i < BATCHES_PER_EVENT; i++)
-    if (kq_udp_receive (stream->fd, stream->receive, stream->data) < KQ_UDP_BATCH)
-      break;
+    {
+      unsigned received = kq_udp_receive (stream->fd, stream->receive, stream->data);
+      if (received < KQ_UDP_BATCH || stream->outdated < received)
+        stream->outdated = 0;
+      else
+        stream->outdated -= received;
+      if (received < KQ_UDP_BATCH)
+        break;
+    }
   if (stream->batch_done != NULL)
     stream->batch_done (stream->data);
 }
@@ -71,6 +83,12 @@
   return 0;
 }
 
+void
+kq_stream_socket_mark_outdated (KqStreamSocket *stream)
+{
+  stream->outdated = BUFFERED_MAX;
+}
+
 void
 kq_stream_socket_send (const KqStreamSocket *stream, const KqAddress *to, const uint8_t *bytes,
                        size_t size)
--- a/tests/unit/test_stream_router.c
+++ b/tests/unit/test_stream_router.c
@@ -220,6 +220,35 @@
   talloc_free (fixture);
 }
 
+/* Regression: a balancer that had been frozen offered the openings that its socket had kept. Their
+ * callers had opened the streams through other balancers meanwhile. */
+static void
+test_openings_from_before_a_pause (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  caller_sends (fixture, 1, KQ_SEGMENT_SYN, 0);
+  uint64_t agent = open_stream (fixture, 2, KQ_MS);
+  const KqTime resumed = 3 * KQ_SECOND;
+  kq_stream_router_resume (fixture->router);
+  unsigned sent = fixture->sent_count;
+  KqSegment opening = segment_of (3, KQ_SEGMENT_SYN);
+  kq_stream_router_handle_outdated_segment (fixture->router, &opening, resumed);
+  KqSegment unknown = segment_of (4, KQ_SEGMENT_ACK);
+  kq_stream_router_handle_outdated_segment (fixture->router, &unknown, resumed);
+  kq_stream_router_tick (fixture->router, resumed);
+  CU_ASSERT_EQUAL (fixture->sent_count, sent);
+  CU_ASSERT_EQUAL (kq_stream_router_stats (fixture->router).outdated, 2);
+  KqSegment known = segment_of (2, KQ_SEGMENT_ACK);
+  kq_stream_router_handle_outdated_segment (fixture->router, &known, resumed);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_FORWARD);
+  CU_ASSERT_EQUAL (last (fixture)->agent, agent);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  /* A copy of the opening that arrives after the pause is a new attempt. */
+  caller_sends (fixture, 1, KQ_SEGMENT_SYN, resumed + KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_OPEN);
+  talloc_free (fixture);
+}
+
 int
 main (void)
 {
@@ -237,6 +266,7 @@
     { "new streams wait for the first target", test_waits_for_first_target },
     { "new streams wait for starting agents", test_waits_for_starting_agents },
     { "idle and closed streams are freed", test_idle_streams_are_freed },
+    { "openings from before a pause are dropped", test_openings_from_before_a_pause },
   };
   return kq_unit_run ("stream router", tests, sizeof tests / sizeof tests[0]);
 }
--- a/tests/unit/test_stream_table.c
+++ b/tests/unit/test_stream_table.c
@@ -506,6 +506,38 @@
   talloc_free (fixture);
 }
 
+/* After a pause, an agent delivers what belongs to open streams. Balancers have offered the others
+ * to other agents meanwhile. */
+static void
+test_frames_from_before_a_pause (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  for (uint16_t port = 2; port <= STREAMS_BEFORE_QUEUEING + 1; port++)
+    offer (fixture, port, true, KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_QUEUED);
+  unsigned before = fixture->delivered;
+  const KqTime resumed = 3 * KQ_SECOND;
+  kq_stream_table_resume (fixture->stream_table, resumed);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_DECLINED);
+  CU_ASSERT_EQUAL (kq_stream_table_load (fixture->stream_table).waiting, 0);
+  const KqStreamFrameType types[] = { KQ_FRAME_OPEN, KQ_FRAME_QUERY, KQ_FRAME_PROBE,
+                                      KQ_FRAME_FORWARD };
+  for (unsigned i = 0; i < sizeof types / sizeof types[0]; i++)
+    {
+      KqSegment segment = segment_of (1, KQ_SEGMENT_ACK, 2, TARGET_ISN + 1, 100);
+      KqStreamFrame frame = {
+        .type = types[i], .service = SERVICE, .agent = AGENT, .key = segment.key
+      };
+      kq_stream_table_handle_outdated_frame (fixture->stream_table, &balancer, &frame, &segment,
+                                             resumed);
+    }
+  CU_ASSERT_EQUAL (fixture->delivered, before + 1);
+  CU_ASSERT_EQUAL (kq_stream_table_stats (fixture->stream_table).outdated, 3);
+  talloc_free (fixture);
+}
+
 static void
 test_complete_agent_declines_at_once (void)
 {
@@ -544,6 +576,7 @@
     { "a stream that continues with another target is not probed",
       test_superseded_stream_is_not_probed },
     { "a restarted agent probes its target", test_restarted_agent_probes_its_target },
+    { "frames from before a pause", test_frames_from_before_a_pause },
     { "an agent with a complete table declines at once", test_complete_agent_declines_at_once },
   };
   return kq_unit_run ("stream table", tests, sizeof tests / sizeof tests[0]);
