A search asks the services that a route named before; unowned streams are reported

Ruled out: asking all services always (12 queries a service for each orphaned stream at rest); histories shared by the directory and peers (a peer that is gone takes with it what it alone knew). Change: KqRouteHistory keeps for 64 s what a route named before. For 64 s after each configuration, the first included, the agents of all other services are asked after those, up to 16 services; with more, or with a service of which no agent was heard, no caller is reset. Event stream-unowned and kumquat_streams_unowned_total say that a stream's segments found no owner for 500 ms, and who was asked.

--- a/include/kumquat/internal/agent_history.h
+++ b/include/kumquat/internal/agent_history.h
@@ -21,6 +21,7 @@
  * @ids: (array) (owned): those that are members, in the order in which to ask them
  * @count: length of @ids
  * @missing: number of further candidates that are not members now
+ * @unknown_services: number of the services without any agent in the history
  * @known: the history is complete: no agent can be left out because this process had no chance to
  *   learn of it
  */
@@ -29,6 +30,7 @@
   uint64_t *ids;
   unsigned count;
   unsigned missing;
+  unsigned unknown_services;
   bool known;
 } KqAgentCandidates;
 
@@ -89,8 +91,8 @@
 
 /**
  * kq_agent_history_candidates - finds the agents that may own a stream
- * @services: (array): services that it may belong to
- * @service_count: length of @services; 0 for any
+ * @services: (array): services that it may belong to, each once
+ * @service_count: length of @services
  * @hash: of the stream's key
  *
  * These are the agents that any instance may have selected for it at any time within the lifetime
@@ -102,3 +104,9 @@
                                                const KqAgentHistory *agent_history,
                                                const uint32_t *services, unsigned service_count,
                                                uint64_t hash, KqTime now);
+
+/** kq_agent_history_add_services - appends the services of all agents to the @count different ones
+ * in
+ * @services. Return: the new number, which exceeds @capacity when there was no room for all */
+unsigned kq_agent_history_add_services (const KqAgentHistory *agent_history, uint32_t *services,
+                                        unsigned count, unsigned capacity);
--- a/include/kumquat/internal/stream_router.h
+++ b/include/kumquat/internal/stream_router.h
@@ -39,6 +39,7 @@
  * @outdated: segments dropped because they waited while the process was paused
  * @found: searches that found the owner
  * @lost: searches that found no owner
+ * @unowned: streams whose segments no agent accepted for 500 ms or longer
  * @searches: searches for the owner of a stream
  * @questions: queries sent to agents by searches
  * @late: rounds of queries that were not answered in time
@@ -60,6 +61,7 @@
   uint64_t outdated;
   uint64_t found;
   uint64_t lost;
+  uint64_t unowned;
   uint64_t searches;
   uint64_t questions;
   uint64_t late;
@@ -79,7 +81,7 @@
 
 /** kq_stream_router_set_routes - replaces the configuration if @routes is newer, and takes
  * ownership of @routes. Return: whether it was newer */
-bool kq_stream_router_set_routes (KqStreamRouter *router, KqRouteTable *routes);
+bool kq_stream_router_set_routes (KqStreamRouter *router, KqRouteTable *routes, KqTime now);
 
 /** kq_stream_router_routes - Return: (borrowed) (nullable) the configuration in use */
 const KqRouteTable *kq_stream_router_routes (const KqStreamRouter *router);
--- a/include/kumquat/internal/stream_state.h
+++ b/include/kumquat/internal/stream_state.h
@@ -7,6 +7,7 @@
 #include <sys/queue.h>
 
 #include "kumquat/internal/hash_index.h"
+#include "kumquat/internal/route_history.h"
 #include "kumquat/internal/search_budget.h"
 #include "kumquat/internal/stream_router.h"
 
@@ -83,6 +84,10 @@
  * @unanswered: agents that were queried or probed in this round and have not answered
  * @answers_missing: an agent of the last search has not answered
  * @orphaned: it is certain that no agent owns it
+ * @unowned_since: when an owner declined it or a search found none, and no later segment was
+ * accepted for UNOWNED_RESET_US; 0 for never
+ * @unowned_at: when that happened last
+ * @unowned_reported: the event for it was logged
  * @undecided: (array): agents of this round that cannot tell whether they own it
  * @undecided_count: length of @undecided
  * @unsent: buffered segments
@@ -121,6 +126,9 @@
   unsigned unanswered;
   bool answers_missing;
   bool orphaned;
+  KqTime unowned_since;
+  KqTime unowned_at;
+  bool unowned_reported;
   uint64_t undecided[KQ_SEARCH_ROUND_AGENTS];
   unsigned undecided_count;
   STAILQ_HEAD (, KqUnsentSegment) unsent;
@@ -132,6 +140,7 @@
 /**
  * struct KqStreamRouter - streams, routes and agents of a balancer
  * @routes: (owned) (nullable): the configuration in use
+ * @route_history: services that routes named before
  * @routes_trusted: the configuration is known to be the newest
  * @targets: agents and their load
  * @agent_history: (borrowed): the agent history, which names the agents that may own a stream
@@ -148,6 +157,7 @@
   KqStreamRouterOps ops;
   void *data;
   KqRouteTable *routes;
+  KqRouteHistory *route_history;
   bool routes_trusted;
   KqStreamTargets *targets;
   const KqAgentHistory *agent_history;
@@ -199,6 +209,10 @@
                                      const KqStreamFrame *frame, KqTime now);
 void kq_stream_search_timeout (KqStreamRouter *router, KqStream *stream, KqTime now);
 
+/** kq_stream_note_unowned - notes that @agent declined the stream, or with 0 that a search found no
+ * owner; logs an event when that has gone on for too long */
+void kq_stream_note_unowned (KqStreamRouter *router, KqStream *stream, uint64_t agent, KqTime now);
+
 /** kq_stream_start_queued_searches - starts queued searches while the budget allows it */
 void kq_stream_start_queued_searches (KqStreamRouter *router, KqTime now);
 
--- a/src/connection/stream_entry.c
+++ b/src/connection/stream_entry.c
@@ -6,7 +6,7 @@
 
 /* How long a refused stream is kept: a caller abandons an attempt 1.4 s after its first segment. */
 #define REFUSED_LINGER_US (1500 * KQ_MS)
-#define DETAIL_BYTES      256
+#define DETAIL_BYTES      320
 
 KqStream *
 kq_stream_find (const KqStreamRouter *router, const KqStreamKey *key)
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -28,7 +28,9 @@
   router->agent_history = agent_history;
   kq_search_budget_init (&router->search_budget);
   router->targets = kq_stream_targets_new (router, failure_domain);
-  if (router->targets == NULL || kq_hash_index_init (&router->index, router) < 0)
+  router->route_history = kq_route_history_new (router);
+  if (router->targets == NULL || router->route_history == NULL ||
+      kq_hash_index_init (&router->index, router) < 0)
     {
       talloc_free (router);
       return NULL;
@@ -37,13 +39,14 @@
 }
 
 bool
-kq_stream_router_set_routes (KqStreamRouter *router, KqRouteTable *routes)
+kq_stream_router_set_routes (KqStreamRouter *router, KqRouteTable *routes, KqTime now)
 {
   if (router->routes != NULL && routes->version <= router->routes->version)
     {
       talloc_free (routes);
       return false;
     }
+  kq_route_history_replace (router->route_history, router->routes, routes, now);
   talloc_free (router->routes);
   router->routes = talloc_steal (router, routes);
   return true;
@@ -285,6 +288,7 @@
         break;
       stream->target_denied = frame->reason == KQ_REFUSAL_BOUNCED;
       stream->owner = 0;
+      kq_stream_note_unowned (router, stream, target->peer.id, now);
       kq_stream_start_search (router, stream, now);
       break;
     case KQ_STREAM_SEARCHING:
--- a/src/connection/stream_search.c
+++ b/src/connection/stream_search.c
@@ -11,6 +11,7 @@
  * So every agent that may own the stream must have answered the query of this search, and none of
  * them may be missing; otherwise the stream is searched again when more is known of the agents. */
 
+#include <stdio.h>
 #include <syslog.h>
 
 #include "kumquat/internal/stream_state.h"
@@ -28,25 +29,45 @@
  * after its start. */
 #define AGENT_DISCOVERY_US (400 * KQ_MS)
 
+/* Services whose agents a search queries at most. If there are more, no stream is reset that none
+ * of these agents owns. */
+#define SEARCH_SERVICES_MAX 16
+
 /* Delay before the search for a missing owner is repeated. */
 #define SEARCH_RETRY_US (300 * KQ_MS)
 
+/* A stream that no agent accepted for this time is reported. */
+#define UNOWNED_MAX_US (500 * KQ_MS)
+
+/* Interval without such an event after which the time is counted anew. */
+#define UNOWNED_RESET_US (2 * KQ_SECOND)
+
+/* Agents named in the event, with the upper half of their ids. */
+#define UNOWNED_NAMED_MAX    12
+#define UNOWNED_NAMED_LENGTH 9
+
 /* A stream without segments for this time is not searched any more: its caller would have
  * retransmitted after 1.6 s at the latest. */
 #define CALLER_SILENT_US (1700 * KQ_MS)
 
-/* Writes the services that the stream may belong to. Return: their number, 0 without a route. */
-static unsigned
-possible_services (const KqStreamRouter *router, const KqStream *stream,
-                   uint32_t services[KQ_ROUTE_SERVICES_MAX])
+/* Finds the agents that may own the stream: first those of the services that its route names or
+ * named within the lifetime of a stream. While other configurations may have been in force
+ * meanwhile which this balancer does not know, the agents of all other services follow. */
+static KqAgentCandidates
+find_candidates (const KqStreamRouter *router, KqStream *stream, KqTime now)
 {
-  const KqStreamRoute *route =
-      router->routes == NULL ? NULL : kq_route_table_find (router->routes, &stream->key);
-  if (route == NULL)
-    return 0;
-  for (unsigned i = 0; i < route->service_count; i++)
-    services[i] = route->services[i].number;
-  return route->service_count;
+  uint32_t services[SEARCH_SERVICES_MAX];
+  unsigned count = kq_route_history_services (router->route_history, router->routes, &stream->key,
+                                              now, services, SEARCH_SERVICES_MAX);
+  if (count == 0 || !kq_route_history_is_complete (router->route_history, now))
+    count =
+        kq_agent_history_add_services (router->agent_history, services, count, SEARCH_SERVICES_MAX);
+  bool all_listed = count <= SEARCH_SERVICES_MAX;
+  KqAgentCandidates candidates = kq_agent_history_candidates (
+      stream, router->agent_history, services, all_listed ? count : SEARCH_SERVICES_MAX,
+      kq_stream_key_hash (&stream->key), now);
+  candidates.known = candidates.known && all_listed && candidates.unknown_services == 0;
+  return candidates;
 }
 
 static bool
@@ -56,12 +77,47 @@
          !stream->answers_missing;
 }
 
+/* Writes the upper halves of the ids of the agents that the search has queried. */
+static void
+format_queried (const KqStream *stream, char text[UNOWNED_NAMED_MAX * UNOWNED_NAMED_LENGTH + 2])
+{
+  int size = 0;
+  text[0] = '-';
+  text[1] = '\0';
+  for (unsigned i = 0; i < stream->queried_count && i < UNOWNED_NAMED_MAX; i++)
+    size += snprintf (text + size, UNOWNED_NAMED_LENGTH + 1, "%s%08x", i == 0 ? "" : ",",
+                      (unsigned)(stream->candidates.ids[i] >> 32));
+}
+
+void
+kq_stream_note_unowned (KqStreamRouter *router, KqStream *stream, uint64_t agent, KqTime now)
+{
+  char queried[UNOWNED_NAMED_MAX * UNOWNED_NAMED_LENGTH + 2];
+  if (stream->unowned_since == 0 || now - stream->unowned_at >= UNOWNED_RESET_US)
+    {
+      stream->unowned_since = now;
+      stream->unowned_reported = false;
+    }
+  stream->unowned_at = now;
+  if (stream->unowned_reported || now - stream->unowned_since < UNOWNED_MAX_US)
+    return;
+  stream->unowned_reported = true;
+  router->stats.unowned++;
+  format_queried (stream, queried);
+  kq_stream_log (router, LOG_WARNING, "stream-unowned", stream,
+                 "for_ms=%lld declined_by=%016llx missing=%u asked=%u agents=%s",
+                 (long long)((now - stream->unowned_since) / KQ_MS), (unsigned long long)agent,
+                 stream->candidates.missing, stream->queried_count, queried);
+}
+
 static void
 end_without_owner (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
   bool certain = stream->target_denied || is_orphaned (stream);
   bool notify = certain && (stream->target_denied || stream->answer_expected);
   router->stats.lost++;
+  if (!notify)
+    kq_stream_note_unowned (router, stream, 0, now);
   kq_stream_log (router, LOG_INFO, "stream-lost", stream,
                  "target_gone=%s agents=%s missing=%u unanswered=%s asked=%u told=%s age_ms=%lld",
                  stream->target_denied ? "yes" : "unknown",
@@ -110,11 +166,8 @@
 static void
 begin_search (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
-  uint32_t services[KQ_ROUTE_SERVICES_MAX];
-  unsigned count = possible_services (router, stream, services);
   talloc_free (stream->candidates.ids);
-  stream->candidates = kq_agent_history_candidates (stream, router->agent_history, services, count,
-                                                    kq_stream_key_hash (&stream->key), now);
+  stream->candidates = find_candidates (router, stream, now);
   stream->searched_at = now;
   stream->searched_version = kq_agent_history_version (router->agent_history);
   stream->queried_count = 0;
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -217,7 +217,7 @@
     }
   unsigned long long version = routes->version;
   unsigned count = routes->count;
-  if (!kq_stream_router_set_routes (balancer->router, routes))
+  if (!kq_stream_router_set_routes (balancer->router, routes, kq_clock_now ()))
     return false;
   kq_log (LOG_NOTICE, "configuration-in-force", "source=%s version=%llu before=%llu routes=%u",
           source, version, old, count);
--- a/src/process/stream_metrics.c
+++ b/src/process/stream_metrics.c
@@ -75,6 +75,8 @@
                "New streams refused before a target accepted them.", stats->refused);
   set_counter (metrics, "kumquat_segments_without_route_total",
                "Segments to addresses without a route.", stats->no_route);
+  set_counter (metrics, "kumquat_streams_unowned_total",
+               "Streams whose segments no agent accepted for 500 ms or longer.", stats->unowned);
   set_counter (metrics, "kumquat_searches_total", "Searches for the agent that owns a stream.",
                stats->searches);
   set_counter (metrics, "kumquat_search_questions_total",
--- a/src/version/agent_ranking.c
+++ b/src/version/agent_ranking.c
@@ -9,6 +9,7 @@
 #include <talloc.h>
 
 #include "kumquat/internal/agent_history_state.h"
+#include "kumquat/internal/route_history.h"
 
 /**
  * struct Ranked - an agent and its rendezvous weight for one stream
@@ -118,7 +119,6 @@
       candidates.known = false;
       return candidates;
     }
-  /* The agents of each service are ranked separately. Without services any agent may own it. */
   for (unsigned i = 0; i < service_count; i++)
     {
       unsigned count = 0;
@@ -129,16 +129,19 @@
                 (Ranked){ .weight = rendezvous_weight (hash, agent_history->entries[j].id),
                           .entry = &agent_history->entries[j] };
         }
+      candidates.unknown_services += count == 0;
       qsort (ranked, count, sizeof ranked[0], compare_weights);
       collect_candidates (agent_history, ranked, count, &candidates);
     }
-  for (unsigned j = 0; j < agent_history->count && service_count == 0; j++)
-    {
-      if (agent_history->entries[j].member)
-        candidates.ids[candidates.count++] = agent_history->entries[j].id;
-      else
-        candidates.missing += agent_history->entries[j].missing;
-    }
   talloc_free (ranked);
   return candidates;
 }
+
+unsigned
+kq_agent_history_add_services (const KqAgentHistory *agent_history, uint32_t *services,
+                               unsigned count, unsigned capacity)
+{
+  for (unsigned i = 0; i < agent_history->count && count <= capacity; i++)
+    count = kq_add_service (services, count, capacity, agent_history->entries[i].service);
+  return count;
+}
--- a/tests/unit/stream_fixture.h
+++ b/tests/unit/stream_fixture.h
@@ -104,7 +104,7 @@
 {
   static const KqStreamRouterOps ops = { send_frame, send_reset, log_event, NULL };
   fixture->router = kq_stream_router_new (fixture, "near", fixture->agent_history, &ops, fixture);
-  kq_stream_router_set_routes (fixture->router, routes (1, ROUTE_PORT));
+  kq_stream_router_set_routes (fixture->router, routes (1, ROUTE_PORT), 0);
   kq_stream_router_trust_routes (fixture->router, true);
 }
 
--- a/tests/unit/test_stream_router.c
+++ b/tests/unit/test_stream_router.c
@@ -129,9 +129,9 @@
 test_older_routes_are_ignored (void)
 {
   Fixture *fixture = set_up (AGENTS);
-  CU_ASSERT_TRUE (kq_stream_router_set_routes (fixture->router, routes (9, ROUTE_PORT)));
-  CU_ASSERT_FALSE (kq_stream_router_set_routes (fixture->router, routes (8, 80)));
-  CU_ASSERT_FALSE (kq_stream_router_set_routes (fixture->router, routes (9, 80)));
+  CU_ASSERT_TRUE (kq_stream_router_set_routes (fixture->router, routes (9, ROUTE_PORT), 0));
+  CU_ASSERT_FALSE (kq_stream_router_set_routes (fixture->router, routes (8, 80), 0));
+  CU_ASSERT_FALSE (kq_stream_router_set_routes (fixture->router, routes (9, 80), 0));
   caller_sends (fixture, 1, KQ_SEGMENT_SYN, 0);
   CU_ASSERT_EQUAL (fixture->resets, 0);
   talloc_free (fixture);
@@ -142,7 +142,7 @@
 test_no_route (void)
 {
   Fixture *fixture = set_up (AGENTS);
-  kq_stream_router_set_routes (fixture->router, routes (2, 80));
+  kq_stream_router_set_routes (fixture->router, routes (2, 80), 0);
   kq_stream_router_trust_routes (fixture->router, false);
   caller_sends (fixture, 1, KQ_SEGMENT_SYN, 0);
   CU_ASSERT_EQUAL (fixture->resets, 0);
@@ -159,7 +159,7 @@
 {
   Fixture *fixture = set_up (AGENTS);
   uint64_t agent = open_stream (fixture, 1, 0);
-  kq_stream_router_set_routes (fixture->router, routes (2, 80));
+  kq_stream_router_set_routes (fixture->router, routes (2, 80), 0);
   caller_sends (fixture, 1, KQ_SEGMENT_ACK, KQ_SECOND);
   CU_ASSERT_EQUAL (last (fixture)->agent, agent);
   CU_ASSERT_EQUAL (fixture->resets, 0);
--- a/tests/unit/test_stream_search.c
+++ b/tests/unit/test_stream_search.c
@@ -249,6 +249,23 @@
   talloc_free (fixture);
 }
 
+/* An event and a counter say that a stream's segments reached no owner for 500 ms. */
+static void
+test_unowned_stream_is_reported (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  uint64_t agent = open_stream (fixture, 1, 0);
+  for (KqTime now = 100 * KQ_MS; now <= 700 * KQ_MS; now += 100 * KQ_MS)
+    {
+      caller_sends_data (fixture, 1, KQ_SEGMENT_ACK, now);
+      agent_answers (fixture, agent, KQ_FRAME_DECLINED, KQ_REFUSAL_UNKNOWN, 0, 1, now);
+      agent_answers (fixture, agent, KQ_FRAME_OWNED, KQ_REFUSAL_NONE,
+                     last (fixture)->transaction_id, 1, now);
+      CU_ASSERT_EQUAL (kq_stream_router_stats (fixture->router).unowned, now >= 600 * KQ_MS);
+    }
+  talloc_free (fixture);
+}
+
 /* Runs a search in which all queried agents answer that they do not own the stream. Return: number
  * of queried agents. */
 static unsigned
@@ -380,6 +397,7 @@
     { "all restarted agents of a large service are probed", test_all_restarted_agents_are_probed },
     { "a stream is reset when all targets return the probe", test_no_probed_target_owns },
     { "a stream that its target has lost is reset", test_stream_lost_by_its_target_is_reset },
+    { "a stream without an owner is reported", test_unowned_stream_is_reported },
     { "queries do not grow with the service", test_queries_do_not_grow_with_the_service },
     { "a missing agent affects only streams that it may own",
       test_missing_agent_affects_its_streams_only },
