The age of an opening counts from its first copy

Hypothesis: after an outage, the first copy of an opening that arrives is often the one sent 200 or 600 ms after the first. Taken for new, it gets a slot before an opening that can still be in time. A later try with a new port still looks new.

--- a/include/kumquat/internal/segment.h
+++ b/include/kumquat/internal/segment.h
@@ -57,6 +57,7 @@
  * @acknowledged: sequence number of the next byte that its sender expects
  * @tag: number that this instance has set and that a bounced segment returns; 0 for none
  * @payload_size: bytes of data
+ * @opening_age_us: of an opening segment, how long ago its caller sent the first copy of it
  * @bytes: (borrowed): the complete segment as received
  * @size: bytes at @bytes
  */
@@ -69,6 +70,7 @@
   uint32_t acknowledged;
   uint32_t tag;
   unsigned payload_size;
+  KqTime opening_age_us;
   const uint8_t *bytes;
   size_t size;
 } KqSegment;
--- a/include/kumquat/internal/stream_state.h
+++ b/include/kumquat/internal/stream_state.h
@@ -71,7 +71,7 @@
  * @busy_count: length of @busy
  * @offers: number of offers so far
  * @need: requirements of its requests
- * @first_at: time of its first segment
+ * @first_at: time of its first segment; of a new stream, when its caller sent the first copy of it
  * @used_at: time of its last segment
  * @timeout_at: time of the pending timeout
  * @acknowledged: last acknowledgement of the caller, so that a reset lies in its window
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -100,6 +100,7 @@
   if (stream == NULL)
     return;
   stream->state = KQ_STREAM_OPENING;
+  stream->first_at = now - segment->opening_age_us;
   stream->service = service;
   stream->need = (KqStreamNeed){ .priority = route->priority,
                                  .objective_ms = route->objective_ms,
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -14,6 +14,8 @@
 #define REQUESTS     4000
 #define SEED         7
 
+#define COPIES_PER_OPENING 4 /* after an outage of some seconds */
+
 /**
  * struct Request - one request of a caller
  * @done_at: time of its answer; 0 while there is none
@@ -180,6 +182,45 @@
   talloc_free (fifo);
 }
 
+/* After an outage, callers of the last half second repeat their openings, while others connect for
+ * the first time. The repeated ones cannot be in time any more. When their age is known, they do
+ * not take slots of those that can. */
+static unsigned
+simulate_copies (bool age_known)
+{
+  Simulation *simulation = talloc_zero (NULL, Simulation);
+  unsigned in_time = 0;
+  const KqTime step = 10 * KQ_MS;
+  kq_admission_init (&simulation->admission);
+  kq_admission_set_slots (&simulation->admission, SLOTS);
+  kq_random_seed (&simulation->random, SEED);
+  for (KqTime now = 0; now < 2 * KQ_SECOND; now += KQ_MS)
+    {
+      unsigned index = (unsigned)(now / step);
+      end_finished (simulation, now);
+      start_waiting (simulation, now);
+      if (now % step != 0)
+        continue;
+      arrive (simulation, &simulation->requests[index], 2, now);
+      for (unsigned i = 0; i < COPIES_PER_OPENING && now < 500 * KQ_MS; i++)
+        arrive (simulation, &simulation->requests[REQUESTS / 2 + COPIES_PER_OPENING * index + i], 2,
+                now - (age_known ? 600 * KQ_MS : 0));
+    }
+  for (unsigned i = 0; i < 50; i++)
+    in_time += simulation->requests[i].done_at != 0 &&
+               simulation->requests[i].done_at - (KqTime)i * step <= OBJECTIVE_MS * KQ_MS;
+  talloc_free (simulation);
+  return in_time;
+}
+
+static void
+test_copies_after_an_outage (void)
+{
+  unsigned in_time = simulate_copies (true);
+  CU_ASSERT_TRUE (in_time >= 45);
+  CU_ASSERT_TRUE (in_time >= simulate_copies (false) + 10);
+}
+
 /* Load of a third above capacity: the slots are used for requests that can be answered in time, by
  * priority, and no request waits behind others that cannot be. */
 static void
@@ -249,6 +290,7 @@
   static const KqUnitTest tests[] = {
     { "no refusals below capacity", test_below_capacity },
     { "reconnection of all callers", test_return_after_outage },
+    { "copies of openings after an outage", test_copies_after_an_outage },
     { "load a third above capacity", test_overload },
     { "streams that cannot be served in time are refused at once", test_no_futile_wait },
     { "reported load", test_load },
--- a/tests/unit/test_platform_formats.c
+++ b/tests/unit/test_platform_formats.c
@@ -27,6 +27,7 @@
   KqSegment segment;
   char text[KQ_STREAM_KEY_TEXT_BYTES];
   CU_ASSERT_EQUAL (codec ()->decode (syn, sizeof syn, false, &segment, NULL), 0);
+  CU_ASSERT_EQUAL (segment.opening_age_us, 0);
   CU_ASSERT_EQUAL (segment.flags, KQ_SEGMENT_SYN);
   CU_ASSERT_EQUAL (segment.sequence, 0x11223344);
   CU_ASSERT_EQUAL (segment.payload_size, 0);
@@ -34,6 +35,30 @@
                           "100.64.0.7:40001>198.18.0.1:443");
 }
 
+/* The number of earlier copies tells how long ago the caller sent the first one; an impossible
+ * number counts as the last copy. */
+static void
+test_age_of_opening_copies (void)
+{
+  static const struct
+  {
+    uint8_t copies;
+    KqTime age_us;
+  } cases[] = { { 0, 0 }, { 1, 200 * KQ_MS }, { 2, 600 * KQ_MS }, { 255, 600 * KQ_MS } };
+  for (unsigned i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      uint8_t copy[sizeof syn];
+      KqSegment segment;
+      memcpy (copy, syn, sizeof copy);
+      copy[28] = cases[i].copies;
+      CU_ASSERT_EQUAL (codec ()->decode (copy, sizeof copy, false, &segment, NULL), 0);
+      CU_ASSERT_EQUAL (segment.opening_age_us, cases[i].age_us);
+      copy[0] = 0x20; /* an acknowledgement without data */
+      CU_ASSERT_EQUAL (codec ()->decode (copy, sizeof copy, false, &segment, NULL), 0);
+      CU_ASSERT_EQUAL (segment.opening_age_us, 0);
+    }
+}
+
 static void
 test_same_key_in_both_directions (void)
 {
@@ -270,6 +295,7 @@
 {
   static const KqUnitTest tests[] = {
     { "documented example of a SYN packet", test_documented_syn_packet },
+    { "age of copies of an opening", test_age_of_opening_copies },
     { "both directions of a stream have the same key", test_same_key_in_both_directions },
     { "documented example of a reset", test_documented_reset },
     { "a bounced packet returns the tag", test_bounced_packet_returns_the_tag },
--- a/tests/unit/test_stream_router.c
+++ b/tests/unit/test_stream_router.c
@@ -30,6 +30,22 @@
   talloc_free (fixture);
 }
 
+/* The first copy of an opening that arrives may be a late one, for example after an outage. */
+static void
+test_age_of_first_copy_is_offered (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  KqSegment opening = segment_of (1, KQ_SEGMENT_SYN);
+  opening.opening_age_us = 600 * KQ_MS;
+  kq_stream_router_handle_segment (fixture->router, &opening, KQ_SECOND);
+  CU_ASSERT_EQUAL (last (fixture)->age_ms, 600);
+  decline (fixture, KQ_REFUSAL_BUSY, 1, KQ_SECOND + 5 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->age_ms, 605);
+  caller_sends (fixture, 2, KQ_SEGMENT_SYN, KQ_SECOND);
+  CU_ASSERT_EQUAL (last (fixture)->age_ms, 0);
+  talloc_free (fixture);
+}
+
 static void
 test_declined_offers_next_agent (void)
 {
@@ -254,7 +270,9 @@
 {
   static const KqUnitTest tests[] = {
     { "a stream opens and stays", test_open_and_carry },
+    { "the age of the first copy is offered", test_age_of_first_copy_is_offered },
     { "a retransmitted opening segment starts no offer", test_retransmitted_opening },
+    { "the age of the first copy is offered", test_age_of_first_copy_is_offered },
     { "a declined stream is offered to the next agent", test_declined_offers_next_agent },
     { "a stream is queued when all agents are busy", test_busy_then_queued },
     { "a stream declined for overload is refused at once", test_overload_is_refused_at_once },
