A verdict that nobody owns a stream ends when more is known of the agents

An agent frozen for 4 s counts as gone after 3 s; a search for a stream of its target ended as certain at 24.077 s, 50 ms before the agent was a member again. The caller acknowledged what its target sent again, so the entry stayed with its verdict, and the next request at 30.47 s was reset without a search. Ruled out: a wrong owner (one search, all asked agents had answered); the pause of another balancer (it was not frozen). Change: when the agent history has changed since the search, the verdict is dropped and the stream is searched again, unless the caller closes it. With it, found while reading the trace: a repeated SYN+ACK no longer resets what an agent knows of its target's sequence numbers, which would have marked a live stream as superseded.

--- a/src/connection/stream_search.c
+++ b/src/connection/stream_search.c
@@ -335,14 +335,16 @@
 void
 kq_stream_search_retry (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
-  /* No further search once it is certain that no agent owns the stream: the result would be the
-   * same, although a caller that closes its stream retransmits the FIN for seconds. */
+  bool more_known = stream->searched_version != kq_agent_history_version (router->agent_history);
+  /* An agent that was away for so long that it counted as gone may be back with its streams. A
+   * caller that closes its stream retransmits the FIN for seconds and needs no further search. */
+  if (more_known && !stream->closing)
+    stream->orphaned = false;
   if (stream->orphaned && stream->answer_expected)
     {
       kq_stream_refuse (router, stream, now);
       return;
     }
-  bool more_known = stream->searched_version != kq_agent_history_version (router->agent_history);
   bool repeated = stream->used_at > stream->searched_at;
   if (!stream->orphaned && now - stream->searched_at >= SEARCH_RETRY_US && (more_known || repeated))
     kq_stream_start_search (router, stream, now);
--- a/src/connection/stream_table_target.c
+++ b/src/connection/stream_table_target.c
@@ -47,9 +47,11 @@
 static void
 handle_accepted (KqStreamTable *stream_table, KqOwnedStream *owned, const KqSegment *segment)
 {
+  /* The target repeats this segment for a late copy of the opening. */
+  if (!owned->target_isn_known || owned->target_isn != segment->sequence)
+    owned->target_next_sequence = segment->sequence + 1;
   owned->target_isn_known = true;
   owned->target_isn = segment->sequence;
-  owned->target_next_sequence = segment->sequence + 1;
   stream_table->accept_timeouts = 0;
   stream_table->backoff_until = 0;
   if (owned->state == KQ_OWNED_OPEN)
--- a/tests/unit/test_stream_search.c
+++ b/tests/unit/test_stream_search.c
@@ -151,6 +151,30 @@
   talloc_free (fixture);
 }
 
+/* Regression: an agent that had been frozen for longer than agents count as missing was back, but
+ * the verdict from before stayed while the caller acknowledged what the target sent again. The next
+ * request of the stream was reset. */
+static void
+test_owner_is_back_after_the_verdict (void)
+{
+  Fixture *fixture = set_up (AGENTS);
+  KqTime now = 0;
+  for (; now <= 4 * KQ_SECOND; now += KQ_SECOND)
+    remove_last_member (fixture, AGENTS, now);
+  caller_sends (fixture, 1, KQ_SEGMENT_ACK, now);
+  agents_deny (fixture, AGENTS - 1, 1, now);
+  set_members (fixture, AGENTS, now + 100 * KQ_MS);
+  for (unsigned i = 0; i < 4; i++)
+    caller_sends (fixture, 1, KQ_SEGMENT_ACK, now + 400 * KQ_MS);
+  caller_sends_data (fixture, 1, KQ_SEGMENT_ACK, now + 401 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->resets, 0);
+  agent_answers (fixture, 102, KQ_FRAME_OWNED, KQ_REFUSAL_NONE, last (fixture)->transaction_id, 1,
+                 now + 402 * KQ_MS);
+  CU_ASSERT_EQUAL (last (fixture)->type, KQ_FRAME_FORWARD);
+  CU_ASSERT_EQUAL (last (fixture)->agent, 102);
+  talloc_free (fixture);
+}
+
 /* A caller that expects no answer gets no reset, and its stream is freed. */
 static void
 test_caller_that_expects_nothing_gets_no_reset (void)
@@ -390,6 +414,7 @@
     { "the caller of an orphaned stream gets a reset", test_caller_of_orphaned_stream_gets_reset },
     { "the search is repeated when a missing agent is back", test_search_is_repeated },
     { "buffered segments are sent to an owner that is back", test_owner_is_found_later },
+    { "an owner that is back after the verdict is found", test_owner_is_back_after_the_verdict },
     { "a caller that expects no answer gets no reset",
       test_caller_that_expects_nothing_gets_no_reset },
     { "a retransmitted FIN starts no search", test_retransmitted_fin_starts_no_search },
--- a/tests/unit/test_stream_table.c
+++ b/tests/unit/test_stream_table.c
@@ -461,6 +461,25 @@
   talloc_free (fixture);
 }
 
+/* The target repeats the acceptance when a late copy of the opening reaches it; what it has sent
+ * since then stays acknowledged by this stream's caller. */
+static void
+test_repeated_acceptance (void)
+{
+  Fixture *fixture = set_up (true);
+  offer (fixture, 1, false, 0);
+  accept_stream (fixture, 1, KQ_MS);
+  uint32_t next = TARGET_ISN + 1;
+  for (unsigned i = 0; i < 40; i++, next += 1200)
+    target_sends (fixture, 1, KQ_SEGMENT_ACK, next, 1200, 0, 2 * KQ_MS);
+  accept_stream (fixture, 1, 3 * KQ_MS);
+  KqSegment segment = segment_of (1, KQ_SEGMENT_ACK, 2, next, 100);
+  unsigned before = fixture->delivered;
+  send_frame (fixture, KQ_FRAME_FORWARD, &segment, false, 4 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->delivered, before + 1);
+  talloc_free (fixture);
+}
+
 /* Regression: an agent that had restarted sent the segments of such a stream to its target as
  * probes for seconds. The target kept the stream half open and did not return them. */
 static void
@@ -573,6 +592,7 @@
     { "a restarted target owns no streams", test_restarted_target_owns_nothing },
     { "balancers are not notified of closed streams", test_closed_streams_are_not_notified },
     { "an acknowledgement for another target is declined", test_answer_to_another_target },
+    { "a repeated acceptance", test_repeated_acceptance },
     { "a stream that continues with another target is not probed",
       test_superseded_stream_is_not_probed },
     { "a restarted agent probes its target", test_restarted_agent_probes_its_target },
