Evacuated failure domains get no new streams

Change: the set of evacuated domains with the store's revision, read by the balancers that watch the store (the watch and the periodic read cover the operators' keys, no further calls), disseminated as a document; balancers skip targets of these domains, agents decline offers and what is queued. Open streams stay. Older revisions are ignored; a read that may be stale only adds. Event evacuation-in-force, gauge kumquat_evacuated_domains, refusal 'evacuated'. Not built: intent and plan in kumquatctl, a ramp for targets that come back.

--- a/include/kumquat/internal/stream_adapter.h
+++ b/include/kumquat/internal/stream_adapter.h
@@ -10,7 +10,9 @@
  * struct KqStreamAdapter - the platform's formats
  * @codec: decodes and encodes the platform's segments
  * @store: protocol of the platform's store
+ * @operator_prefix: what the operators write to the store starts with it
  * @routes_key: key of the configuration in the store
+ * @evacuation_prefix: keys that name an evacuated failure domain after this prefix
  * @ready_path: HTTP path of the platform's readiness check
  * @decode_routes: decodes the value of @routes_key. Return: (owned by @parent) the routes, or NULL
  *   with @error set
@@ -21,7 +23,9 @@
 {
   const KqSegmentCodec *codec;
   const KqStoreProtocol *store;
+  const char *operator_prefix;
   const char *routes_key;
+  const char *evacuation_prefix;
   const char *ready_path;
   KqRouteTable *(*decode_routes) (const void *parent, const char *bytes, size_t size,
                                   KqError *error);
--- a/include/kumquat/internal/stream_frame.h
+++ b/include/kumquat/internal/stream_frame.h
@@ -40,6 +40,7 @@
  * @KQ_REFUSAL_BOUNCED: the target returned the segment
  * @KQ_REFUSAL_WRONG_SERVICE: the frame is for another service or another agent
  * @KQ_REFUSAL_UNKNOWN: the agent does not know the stream
+ * @KQ_REFUSAL_EVACUATED: the agent's failure domain is evacuated
  */
 typedef enum
 {
@@ -51,9 +52,12 @@
   KQ_REFUSAL_NO_TARGET,
   KQ_REFUSAL_BOUNCED,
   KQ_REFUSAL_WRONG_SERVICE,
-  KQ_REFUSAL_UNKNOWN
+  KQ_REFUSAL_UNKNOWN,
+  KQ_REFUSAL_EVACUATED
 } KqStreamRefusal;
 
+#define KQ_REFUSAL_MAX KQ_REFUSAL_EVACUATED
+
 /**
  * struct KqTargetLoad - load of a target at the time of the answer
  * @running: requests that run or are about to run
--- a/include/kumquat/internal/stream_metrics.h
+++ b/include/kumquat/internal/stream_metrics.h
@@ -42,3 +42,11 @@
 /** kq_stream_metrics_respond - responds with @metrics and the metrics of the control plane */
 void kq_stream_metrics_respond (KqHttpRequest *request, KqMetrics *metrics,
                                 const KqControl *control);
+
+/** kq_stream_metrics_update_evacuation - sets the number of evacuated failure domains */
+void kq_stream_metrics_update_evacuation (KqMetrics *metrics, unsigned domains);
+
+/** kq_stream_metrics_log_balancer - logs what a balancer did between two states of its counters, in
+ * @seconds */
+void kq_stream_metrics_log_balancer (const KqStreamRouterStats *now,
+                                     const KqStreamRouterStats *before, int seconds);
--- a/include/kumquat/internal/stream_process.h
+++ b/include/kumquat/internal/stream_process.h
@@ -11,11 +11,12 @@
 
 #define KQ_STREAM_FRAME_BYTES 1536 /* largest segment plus longest frame header */
 
-/* Document numbers under which the route configuration and the directory of members are
- * disseminated, and the epoch of their revisions. */
-#define KQ_ROUTES_DOCUMENT    1
-#define KQ_DIRECTORY_DOCUMENT 2
-#define KQ_DOCUMENT_EPOCH     1
+/* Document numbers under which the route configuration, the directory of members and the evacuated
+ * failure domains are disseminated, and the epoch of their revisions. */
+#define KQ_ROUTES_DOCUMENT     1
+#define KQ_DIRECTORY_DOCUMENT  2
+#define KQ_EVACUATION_DOCUMENT 3
+#define KQ_DOCUMENT_EPOCH      1
 
 /**
  * struct KqStreamSocket - a datagram socket on the event loop
--- a/include/kumquat/internal/stream_router.h
+++ b/include/kumquat/internal/stream_router.h
@@ -90,6 +90,10 @@
  * it is not, segments without a route are dropped instead of refused */
 void kq_stream_router_trust_routes (KqStreamRouter *router, bool trusted);
 
+/** kq_stream_router_set_evacuation - sets which failure domains are evacuated; @evacuation is
+ * borrowed. New streams go elsewhere; open ones stay. */
+void kq_stream_router_set_evacuation (KqStreamRouter *router, const KqEvacuation *evacuation);
+
 /** kq_stream_router_set_members - sets the current members */
 void kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count);
 
--- a/include/kumquat/internal/stream_table.h
+++ b/include/kumquat/internal/stream_table.h
@@ -46,7 +46,7 @@
 typedef struct
 {
   uint64_t opened;
-  uint64_t declined[KQ_REFUSAL_UNKNOWN + 1];
+  uint64_t declined[KQ_REFUSAL_MAX + 1];
   uint64_t misdirected;
   uint64_t learnt;
   uint64_t probed;
@@ -114,6 +114,10 @@
 /** kq_stream_table_stop_accepting - stops accepting new streams, as this agent shuts down */
 void kq_stream_table_stop_accepting (KqStreamTable *stream_table);
 
+/** kq_stream_table_set_evacuated - sets whether the failure domain is evacuated: no new stream is
+ * accepted then, and queued ones are declined */
+void kq_stream_table_set_evacuated (KqStreamTable *stream_table, bool evacuated);
+
 /** kq_stream_table_accepts_new - Return: whether new streams are accepted, load aside */
 bool kq_stream_table_accepts_new (const KqStreamTable *stream_table);
 
--- a/include/kumquat/internal/stream_targets.h
+++ b/include/kumquat/internal/stream_targets.h
@@ -2,6 +2,7 @@
  * new stream. */
 #pragma once
 
+#include "kumquat/internal/evacuation.h"
 #include "kumquat/internal/stream_frame.h"
 #include "kumquat/view.h"
 
@@ -12,6 +13,8 @@
  * @peer: the agent, with its current incarnation
  * @service: number of the service
  * @same_domain: it is in this balancer's failure domain
+ * @failure_domain: its failure domain
+ * @evacuated: its failure domain is evacuated
  * @serving: it reports that its target accepts new streams
  * @load: load of the target as of its last answer
  * @load_at: when that answer arrived; 0 for never
@@ -23,7 +26,9 @@
 {
   KqPeer peer;
   uint32_t service;
+  char failure_domain[KQ_NAME_BYTES];
   bool same_domain;
+  bool evacuated;
   bool serving;
   KqTargetLoad load;
   KqTime load_at;
@@ -39,6 +44,10 @@
  * its incarnation stays the same */
 void kq_stream_targets_set (KqStreamTargets *targets, const KqMember *members, unsigned count);
 
+/** kq_stream_targets_set_evacuation - sets which failure domains are evacuated; @evacuation is
+ * borrowed and is read again whenever the members change */
+void kq_stream_targets_set_evacuation (KqStreamTargets *targets, const KqEvacuation *evacuation);
+
 /** kq_stream_targets_find - Return: (borrowed until the next set) the target, or NULL */
 KqStreamTarget *kq_stream_targets_find (const KqStreamTargets *targets, uint64_t id);
 
@@ -49,9 +58,10 @@
  * @tried: (array): ids of agents that are not chosen again
  * @tried_count: length of @tried
  *
- * Chooses the serving candidate with the lowest expected completion time of the next request
- * according to its last report; an agent of another failure domain gets a penalty for the network
- * round trip. Agents in backoff are chosen only if no other is left.
+ * Chooses the serving candidate outside of evacuated failure domains with the lowest expected
+ * completion time of the next request according to its last report; an agent of another failure
+ * domain gets a penalty for the network round trip. Agents in backoff are chosen only if no other
+ * is left.
  *
  * Return: (borrowed until the next set) the agent, or NULL when all were tried.
  */
--- a/include/kumquat/store.h
+++ b/include/kumquat/store.h
@@ -32,6 +32,7 @@
  * @cluster_id: cluster id of the store; it changes when the store is restored from a backup
  * @values: (array): the keys that were found
  * @count: length of @values
+ * @all_keys: a watch delivers all keys under its prefix, not only the changed ones
  */
 typedef struct
 {
@@ -40,6 +41,7 @@
   uint64_t cluster_id;
   const KqStoreValue *values;
   unsigned count;
+  bool all_keys;
 } KqStoreReply;
 
 typedef void (*KqStoreCallback) (const KqStoreReply *reply, void *data);
--- a/src/connection/stream_frame.c
+++ b/src/connection/stream_frame.c
@@ -126,7 +126,7 @@
     frame->transaction_id = (uint32_t)kq_reader_uint (&reader, UINT32_MAX);
   if (is_answer (frame->type))
     {
-      frame->reason = (KqStreamRefusal)kq_reader_uint (&reader, KQ_REFUSAL_UNKNOWN);
+      frame->reason = (KqStreamRefusal)kq_reader_uint (&reader, KQ_REFUSAL_MAX);
       read_load (&reader, &frame->load);
     }
   if (carries_segment (frame->type))
@@ -152,6 +152,7 @@
     [KQ_REFUSAL_BOUNCED] = "bounced",
     [KQ_REFUSAL_WRONG_SERVICE] = "wrong-service",
     [KQ_REFUSAL_UNKNOWN] = "unknown-stream",
+    [KQ_REFUSAL_EVACUATED] = "evacuated",
   };
   return names[reason];
 }
--- a/src/connection/stream_offer.c
+++ b/src/connection/stream_offer.c
@@ -147,6 +147,9 @@
       stream->agent_starting = true;
       exclude (stream, target->peer.id);
       break;
+    case KQ_REFUSAL_EVACUATED:
+      exclude (stream, target->peer.id);
+      break;
     case KQ_REFUSAL_DRAINING:
       target->serving = false;
       exclude (stream, target->peer.id);
--- a/src/connection/stream_router.c
+++ b/src/connection/stream_router.c
@@ -64,6 +64,12 @@
   router->routes_trusted = trusted;
 }
 
+void
+kq_stream_router_set_evacuation (KqStreamRouter *router, const KqEvacuation *evacuation)
+{
+  kq_stream_targets_set_evacuation (router->targets, evacuation);
+}
+
 void
 kq_stream_router_set_members (KqStreamRouter *router, const KqMember *members, unsigned count)
 {
--- a/src/connection/stream_table.c
+++ b/src/connection/stream_table.c
@@ -135,6 +135,14 @@
   decline_queued (stream_table, KQ_REFUSAL_DRAINING);
 }
 
+void
+kq_stream_table_set_evacuated (KqStreamTable *stream_table, bool evacuated)
+{
+  stream_table->evacuated = evacuated;
+  if (evacuated)
+    decline_queued (stream_table, KQ_REFUSAL_EVACUATED);
+}
+
 /* Return: why no new stream is accepted, load aside, or KQ_REFUSAL_NONE. */
 static KqStreamRefusal
 new_stream_refusal (const KqStreamTable *stream_table, KqTime now)
@@ -147,7 +155,7 @@
   if ((state == KQ_TARGET_DRAINING && !kq_test_is_disabled ("stream-drain")) ||
       stream_table->shutting_down)
     return KQ_REFUSAL_DRAINING;
-  return KQ_REFUSAL_NONE;
+  return stream_table->evacuated ? KQ_REFUSAL_EVACUATED : KQ_REFUSAL_NONE;
 }
 
 static void
--- a/src/connection/stream_targets.c
+++ b/src/connection/stream_targets.c
@@ -40,6 +40,7 @@
 struct KqStreamTargets
 {
   char domain[KQ_NAME_BYTES];
+  const KqEvacuation *evacuation;
   KqStreamTarget *targets;
   unsigned count;
 };
@@ -87,7 +88,10 @@
     *target = *before;
   target->peer = member->peer;
   target->service = member->service;
+  memcpy (target->failure_domain, member->failure_domain, KQ_NAME_BYTES);
   target->same_domain = strcmp (member->failure_domain, known->domain) == 0;
+  target->evacuated = known->evacuation != NULL &&
+                      kq_evacuation_contains (known->evacuation, target->failure_domain);
   target->serving = member->phase == KQ_PHASE_SERVING;
 }
 
@@ -107,6 +111,15 @@
   targets->count = used;
 }
 
+void
+kq_stream_targets_set_evacuation (KqStreamTargets *targets, const KqEvacuation *evacuation)
+{
+  targets->evacuation = evacuation;
+  for (unsigned i = 0; i < targets->count; i++)
+    targets->targets[i].evacuated =
+        kq_evacuation_contains (evacuation, targets->targets[i].failure_domain);
+}
+
 static bool
 was_tried (uint64_t id, const uint64_t *tried, unsigned count)
 {
@@ -202,7 +215,7 @@
   for (unsigned i = 0; i < candidate_count; i++)
     {
       KqStreamTarget *target = kq_stream_targets_find (targets, candidate_ids[i]);
-      if (target == NULL || target->service != service || !target->serving ||
+      if (target == NULL || target->service != service || !target->serving || target->evacuated ||
           was_tried (target->peer.id, tried, tried_count))
         continue;
       if (target->backoff_until > now)
--- a/src/process/store_watch.c
+++ b/src/process/store_watch.c
@@ -282,7 +282,9 @@
   watch->processed_revision = reply->revision;
   watch->cluster_id = reply->cluster_id;
   open_stream (watch);
-  watch->on_change (reply, watch->data);
+  KqStoreReply all = *reply;
+  all.all_keys = true;
+  watch->on_change (&all, watch->data);
 }
 
 static void
--- a/src/process/stream_agent.c
+++ b/src/process/stream_agent.c
@@ -11,6 +11,7 @@
 #include "kumquat/internal/clock.h"
 #include "kumquat/internal/pause_monitor.h"
 #include "kumquat/internal/program_parts.h"
+#include "kumquat/internal/stream_evacuation.h"
 #include "kumquat/internal/stream_table.h"
 #include "kumquat/internal/stream_metrics.h"
 #include "kumquat/internal/stream_process.h"
@@ -62,6 +63,7 @@
   KqProgram *program;
   struct tevent_context *ev;
   const KqSettings *settings;
+  KqEvacuation *evacuation;
   KqStreamTable *holder;
   KqControl *control;
   KqHttpServer *reports;
@@ -309,8 +311,14 @@
 static void
 document_changed (const KqDocument *document, void *data)
 {
-  (void)document;
-  (void)data;
+  StreamAgent *agent = data;
+  if (document->service != KQ_EVACUATION_DOCUMENT ||
+      !kq_stream_evacuation_receive (agent->evacuation, document))
+    return;
+  kq_stream_evacuation_log (agent->evacuation, "peer");
+  kq_stream_table_set_evacuated (
+      agent->holder, kq_evacuation_contains (agent->evacuation,
+                                             kq_settings_text (agent->settings, "failure_domain")));
 }
 
 static int
@@ -411,10 +419,11 @@
   KqStreamTableParams params = { .agent = kq_hash_name (kq_settings_text (agent->settings, "name")),
                                  .service = agent->service };
   agent->holder = kq_stream_table_new (agent, &params, &ops, agent, kq_clock_now ());
+  agent->evacuation = kq_evacuation_new (agent);
   agent->metrics = kq_metrics_new (agent);
   agent->timer = kq_timer_new (agent, agent->ev, on_tick, agent, error);
   agent->stop_timer = kq_timer_new (agent, agent->ev, on_stop, agent, error);
-  if (agent->holder == NULL || agent->metrics == NULL)
+  if (agent->holder == NULL || agent->evacuation == NULL || agent->metrics == NULL)
     return kq_error_set (error, KQ_ERROR_SYSTEM,
                          "out of memory for the stream table; raise the memory limit");
   agent->request_latency = kq_stream_metrics_request_latency (agent->metrics);
--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -13,6 +13,7 @@
 #include "kumquat/internal/program_parts.h"
 #include "kumquat/internal/ready_checks.h"
 #include "kumquat/internal/stream_directory.h"
+#include "kumquat/internal/stream_evacuation.h"
 #include "kumquat/internal/stream_metrics.h"
 #include "kumquat/internal/stream_process.h"
 #include "kumquat/internal/stream_router.h"
@@ -75,6 +76,7 @@
   struct tevent_context *ev;
   const KqSettings *settings;
   KqAgentHistory *agent_history;
+  KqEvacuation *evacuation;
   KqStreamRouter *router;
   KqControl *control;
   KqStore *store;
@@ -233,19 +235,17 @@
 }
 
 static void
-store_changed (const KqStoreReply *reply, void *data)
+evacuation_changed (StreamBalancer *balancer, const char *source)
+{
+  kq_stream_evacuation_log (balancer->evacuation, source);
+  kq_stream_router_set_evacuation (balancer->router, balancer->evacuation);
+}
+
+/* Applies and disseminates a newer configuration. */
+static void
+apply_routes_key (StreamBalancer *balancer, const KqStoreReply *reply)
 {
-  StreamBalancer *balancer = data;
   char quoted[KQ_LOG_QUOTE_BYTES];
-  update_routes_trust (balancer);
-  if (reply->error.kind != KQ_ERROR_NONE)
-    {
-      kq_log (LOG_WARNING, "store-unreachable", "error=%s",
-              kq_log_quote (reply->error.message, quoted));
-      return;
-    }
-  if (balancer->directory != NULL)
-    kq_stream_directory_store_recovered (balancer->directory);
   for (unsigned i = 0; i < reply->count; i++)
     {
       const KqStoreValue *value = &reply->values[i];
@@ -263,6 +263,49 @@
     }
 }
 
+/* Return: whether the store answered. */
+static bool
+check_reply (StreamBalancer *balancer, const KqStoreReply *reply)
+{
+  char quoted[KQ_LOG_QUOTE_BYTES];
+  update_routes_trust (balancer);
+  if (reply->error.kind != KQ_ERROR_NONE)
+    {
+      kq_log (LOG_WARNING, "store-unreachable", "error=%s",
+              kq_log_quote (reply->error.message, quoted));
+      return false;
+    }
+  if (balancer->directory != NULL)
+    kq_stream_directory_store_recovered (balancer->directory);
+  return true;
+}
+
+static void
+store_changed (const KqStoreReply *reply, void *data)
+{
+  StreamBalancer *balancer = data;
+  if (!check_reply (balancer, reply))
+    return;
+  apply_routes_key (balancer, reply);
+  if (!kq_stream_evacuation_read (balancer->evacuation, balancer->adapter->evacuation_prefix,
+                                  reply))
+    return;
+  evacuation_changed (balancer, "store");
+  kq_stream_evacuation_disseminate (balancer->evacuation, balancer->control);
+}
+
+static void
+stale_read_done (const KqStoreReply *reply, void *data)
+{
+  StreamBalancer *balancer = data;
+  if (!check_reply (balancer, reply))
+    return;
+  apply_routes_key (balancer, reply);
+  if (kq_stream_evacuation_read_stale (balancer->evacuation, balancer->adapter->evacuation_prefix,
+                                       reply))
+    evacuation_changed (balancer, "stale-read");
+}
+
 static void
 document_changed (const KqDocument *document, void *data)
 {
@@ -271,6 +314,9 @@
     apply_routes (balancer, document->bytes, document->size, "peer");
   else if (document->service == KQ_DIRECTORY_DOCUMENT && balancer->directory != NULL)
     kq_stream_directory_document_received (balancer->directory, document);
+  else if (document->service == KQ_EVACUATION_DOCUMENT &&
+           kq_stream_evacuation_receive (balancer->evacuation, document))
+    evacuation_changed (balancer, "peer");
 }
 
 /* Only a few balancers of a failure domain watch the store. Two others do so as well: one without a
@@ -286,9 +332,9 @@
     return;
   balancer->watching = wanted;
   kq_log (LOG_INFO, wanted ? "watch-started" : "watch-ended", "key=%s",
-          balancer->adapter->routes_key);
+          balancer->adapter->operator_prefix);
   if (wanted)
-    kq_store_watch (balancer->store, balancer->adapter->routes_key, store_changed, balancer);
+    kq_store_watch (balancer->store, balancer->adapter->operator_prefix, store_changed, balancer);
   else
     kq_store_unwatch (balancer->store);
 }
@@ -307,7 +353,8 @@
   kq_agent_history_advance (balancer->agent_history, kq_clock_now ());
   update_watch (balancer);
   if (++balancer->refreshes % REFRESHES_PER_READ == 0 && !balancer->watching && !balancer->stopping)
-    kq_store_read_stale (balancer->store, balancer->adapter->routes_key, store_changed, balancer);
+    kq_store_read_stale (balancer->store, balancer->adapter->operator_prefix, stale_read_done,
+                         balancer);
 }
 
 static void
@@ -373,6 +420,8 @@
       kq_stream_metrics_update_balancer (
           balancer->metrics, &stats, routes, serving_targets (balancer),
           kq_store_is_reachable (balancer->store), balancer->malformed);
+      kq_stream_metrics_update_evacuation (balancer->metrics,
+                                           kq_evacuation_count (balancer->evacuation));
       kq_stream_metrics_update_directory (
           balancer->metrics, kq_stream_directory_inconsistencies (balancer->directory));
       kq_stream_metrics_respond (request, balancer->metrics, balancer->control);
@@ -387,25 +436,9 @@
 {
   StreamBalancer *balancer = data;
   KqStreamRouterStats now = kq_stream_router_stats (balancer->router);
-  const KqStreamRouterStats *before = &balancer->last_summary;
   kq_timer_set (balancer->summary_timer, kq_clock_now () + SUMMARY_US);
-  if (now.segments != before->segments)
-    kq_log (LOG_INFO, "streams-summary",
-            "seconds=%d segments=%llu opened=%llu offers=%llu declined=%llu unanswered=%llu "
-            "refused=%llu searches=%llu questions=%llu late=%llu queued=%llu limit=%llu "
-            "found=%llu lost=%llu dropped=%llu streams=%llu",
-            (int)(SUMMARY_US / KQ_SECOND), (unsigned long long)(now.segments - before->segments),
-            (unsigned long long)(now.opened - before->opened),
-            (unsigned long long)(now.offers - before->offers),
-            (unsigned long long)(now.declined - before->declined),
-            (unsigned long long)(now.unanswered - before->unanswered),
-            (unsigned long long)(now.refused - before->refused),
-            (unsigned long long)(now.searches - before->searches),
-            (unsigned long long)(now.questions - before->questions),
-            (unsigned long long)(now.late - before->late), (unsigned long long)now.queued,
-            (unsigned long long)now.search_limit, (unsigned long long)(now.found - before->found),
-            (unsigned long long)(now.lost - before->lost),
-            (unsigned long long)(now.dropped - before->dropped), (unsigned long long)now.streams);
+  if (now.segments != balancer->last_summary.segments)
+    kq_stream_metrics_log_balancer (&now, &balancer->last_summary, (int)(SUMMARY_US / KQ_SECOND));
   balancer->last_summary = now;
 }
 
@@ -476,7 +509,8 @@
   };
   const char *domain = kq_settings_text (balancer->settings, "failure_domain");
   balancer->agent_history = kq_agent_history_new (balancer, kq_clock_now ());
-  if (balancer->agent_history == NULL)
+  balancer->evacuation = kq_evacuation_new (balancer);
+  if (balancer->agent_history == NULL || balancer->evacuation == NULL)
     return kq_error_set (error, KQ_ERROR_SYSTEM,
                          "out of memory for the agent history; raise the memory limit");
   balancer->router =
--- a/src/process/stream_metrics.c
+++ b/src/process/stream_metrics.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 
 #include "kumquat/internal/stream_metrics.h"
+#include "kumquat/log.h"
 
 #define HTTP_OK   200
 #define TEXT_TYPE "text/plain; version=0.0.4"
@@ -113,7 +114,7 @@
 static void
 set_declined (KqMetrics *metrics, const KqStreamTableStats *stats)
 {
-  for (unsigned i = KQ_REFUSAL_NONE + 1; i <= KQ_REFUSAL_UNKNOWN; i++)
+  for (unsigned i = KQ_REFUSAL_NONE + 1; i <= KQ_REFUSAL_MAX; i++)
     {
       KqMetric *metric = kq_metrics_counter (metrics, "kumquat_declined_total",
                                              "Declining answers to balancers, by reason.", "reason",
@@ -190,3 +191,32 @@
     return 0;
   return kq_http_server_new (parent, ev, &address, handler, data, error) == NULL ? -1 : 0;
 }
+
+void
+kq_stream_metrics_update_evacuation (KqMetrics *metrics, unsigned domains)
+{
+  set_gauge (metrics, "kumquat_evacuated_domains",
+             "Failure domains that operators have taken out of service.", domains);
+}
+
+void
+kq_stream_metrics_log_balancer (const KqStreamRouterStats *now, const KqStreamRouterStats *before,
+                                int seconds)
+{
+  kq_log (LOG_INFO, "streams-summary",
+          "seconds=%d segments=%llu opened=%llu offers=%llu declined=%llu unanswered=%llu "
+          "refused=%llu searches=%llu questions=%llu late=%llu queued=%llu limit=%llu "
+          "found=%llu lost=%llu dropped=%llu streams=%llu",
+          seconds, (unsigned long long)(now->segments - before->segments),
+          (unsigned long long)(now->opened - before->opened),
+          (unsigned long long)(now->offers - before->offers),
+          (unsigned long long)(now->declined - before->declined),
+          (unsigned long long)(now->unanswered - before->unanswered),
+          (unsigned long long)(now->refused - before->refused),
+          (unsigned long long)(now->searches - before->searches),
+          (unsigned long long)(now->questions - before->questions),
+          (unsigned long long)(now->late - before->late), (unsigned long long)now->queued,
+          (unsigned long long)now->search_limit, (unsigned long long)(now->found - before->found),
+          (unsigned long long)(now->lost - before->lost),
+          (unsigned long long)(now->dropped - before->dropped), (unsigned long long)now->streams);
+}
--- a/tests/fuzz/fuzz_stream_frame.c
+++ b/tests/fuzz/fuzz_stream_frame.c
@@ -31,7 +31,7 @@
   if (kq_stream_frame_decode (bytes, size, &frame, NULL) < 0)
     return;
   if (frame.type < KQ_FRAME_OPEN || frame.type > KQ_FRAME_DECLINED ||
-      frame.reason > KQ_REFUSAL_UNKNOWN || frame.segment_size > KQ_SEGMENT_BYTES ||
+      frame.reason > KQ_REFUSAL_MAX || frame.segment_size > KQ_SEGMENT_BYTES ||
       kq_stream_frame_encode (&frame, again, sizeof again) < 0)
     abort ();
 }
