An agent that sees its target alive accepts streams before the target's report

Change: a segment that the target sends (not one that it returns) counts as a sign of life until the first report. Ruled out: a draining target that gets new streams (it accepts, and its report says so within a second; test).

--- a/include/kumquat/internal/stream_table_state.h
+++ b/include/kumquat/internal/stream_table_state.h
@@ -101,6 +101,7 @@
  * @by_last_use: all streams, least recently used first
  * @probed: ring of probes by tag
  * @last_tag: tag of the last probe
+ * @target_seen: the target has sent a segment since this agent started
  * @evacuated: the failure domain is evacuated
  * @shutting_down: this agent is shutting down and accepts no new streams
  * @incomplete: the target may own streams that it opened before this agent started
@@ -118,6 +119,7 @@
   struct KqOwnedStreamList by_last_use;
   KqPendingProbe probed[KQ_PENDING_PROBES_MAX];
   uint32_t last_tag;
+  bool target_seen;
   bool evacuated;
   bool shutting_down;
   bool incomplete;
--- a/src/connection/stream_table.c
+++ b/src/connection/stream_table.c
@@ -108,11 +108,20 @@
   return change;
 }
 
+/* A target that sends segments is alive, although this agent has restarted and has no report yet.
+ * Should it be draining, it still accepts, and its next report says so within a second. */
+static bool
+is_alive_without_report (const KqStreamTable *stream_table)
+{
+  return stream_table->target_process.report.state == KQ_TARGET_UNKNOWN &&
+         stream_table->target_seen;
+}
+
 bool
 kq_stream_table_accepts_new (const KqStreamTable *stream_table)
 {
   KqTargetState state = stream_table->target_process.report.state;
-  bool ready = state == KQ_TARGET_READY ||
+  bool ready = state == KQ_TARGET_READY || is_alive_without_report (stream_table) ||
                (state == KQ_TARGET_DRAINING && kq_test_is_disabled ("stream-drain"));
   return ready && !stream_table->shutting_down;
 }
@@ -148,7 +157,8 @@
 new_stream_refusal (const KqStreamTable *stream_table, KqTime now)
 {
   KqTargetState state = stream_table->target_process.report.state;
-  if (state == KQ_TARGET_UNKNOWN && !stream_table->shutting_down)
+  if (state == KQ_TARGET_UNKNOWN && !stream_table->shutting_down &&
+      !is_alive_without_report (stream_table))
     return KQ_REFUSAL_STARTING;
   if (state == KQ_TARGET_GONE || now < stream_table->backoff_until)
     return KQ_REFUSAL_NO_TARGET;
--- a/src/connection/stream_table_target.c
+++ b/src/connection/stream_table_target.c
@@ -118,6 +118,7 @@
       return;
     }
   stream_table->stats.to_callers++;
+  stream_table->target_seen = true;
   stream_table->ops.to_caller (&segment->key, segment->bytes, segment->size, stream_table->data);
   KqOwnedStream *owned = kq_owned_stream_find (stream_table, &segment->key);
   if (owned == NULL && !resets)
--- a/src/process/stream_agent.c
+++ b/src/process/stream_agent.c
@@ -167,6 +167,7 @@
       return;
     }
   kq_stream_table_handle_target_segment (agent->holder, &segment, kq_clock_now ());
+  update_phase (agent);
 }
 
 /* The target receives segments on this connection and sends its own to target.segments_address, so
--- a/tests/unit/test_stream_table.c
+++ b/tests/unit/test_stream_table.c
@@ -357,6 +357,32 @@
   talloc_free (stream_table);
 }
 
+/* All agents were killed while their targets served. An agent that sees its target send segments
+ * accepts new streams, and does not wait up to a second for the next report; what the target
+ * returns does not count. */
+static void
+test_target_is_seen_before_its_report (void)
+{
+  static const KqStreamTableOps ops = { take_answer, deliver, to_caller, log_event, NULL };
+  static const KqStreamTableParams params = { .agent = AGENT, .service = SERVICE };
+  Fixture *fixture = talloc_zero (NULL, Fixture);
+  fixture->stream_table = kq_stream_table_new (fixture, &params, &ops, fixture, 0);
+  target_sends (fixture, 1, KQ_SEGMENT_ACK | KQ_SEGMENT_BOUNCED, 2, 100, 0, KQ_MS);
+  offer (fixture, 2, false, KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_STARTING);
+  CU_ASSERT_EQUAL (kq_stream_table_phase (fixture->stream_table), KQ_PHASE_STARTING);
+  target_sends (fixture, 1, KQ_SEGMENT_ACK, 77, 100, 0, 2 * KQ_MS);
+  offer (fixture, 2, false, 3 * KQ_MS);
+  accept_stream (fixture, 2, 4 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.type, KQ_FRAME_OWNED);
+  CU_ASSERT_EQUAL (kq_stream_table_phase (fixture->stream_table), KQ_PHASE_SERVING);
+  report (fixture, 10, 5, KQ_TARGET_DRAINING, 30 * KQ_SECOND, 5 * KQ_MS);
+  offer (fixture, 3, false, 6 * KQ_MS);
+  CU_ASSERT_EQUAL (fixture->answer.reason, KQ_REFUSAL_DRAINING);
+  kq_stream_table_stop_accepting (fixture->stream_table);
+  talloc_free (fixture);
+}
+
 static void
 test_wrong_service (void)
 {
@@ -585,6 +611,7 @@
     { "no stream is opened before the target reports", test_no_stream_before_the_first_report },
     { "an agent that stops without a report has no target",
       test_agent_without_report_has_no_target },
+    { "a target is seen before its report", test_target_is_seen_before_its_report },
     { "a frame for another service or agent is declined", test_wrong_service },
     { "a bounced opening segment declines the stream", test_bounced_opening },
     { "an unresponsive target gets no streams for a while", test_unresponsive_target },
