The cost of a choice does not grow with the service

Cause: service_means_of() walked all agents of all services twice for each offer, 82,000 entries at 41,000 endpoints. Change: the means of service times and answer sizes, and panic mode, come from the stream's candidates, 12 at most. In a service of up to 12 agents nothing changes. Ruled out: means kept as reports arrive (a second copy of the reports' sums that has to follow each change of members).

--- a/include/kumquat/internal/stream_targets.h
+++ b/include/kumquat/internal/stream_targets.h
@@ -6,6 +6,9 @@
 #include "kumquat/internal/stream_frame.h"
 #include "kumquat/view.h"
 
+/* Candidates that are looked at for one stream. */
+#define KQ_TARGET_CANDIDATES_MAX 12
+
 typedef struct KqStreamTargets KqStreamTargets;
 
 /**
--- a/src/connection/stream_targets.c
+++ b/src/connection/stream_targets.c
@@ -129,7 +129,7 @@
   return false;
 }
 
-/* Mean values over the targets of a service, from their last reports. If @panic_mode is set, too
+/* Mean values over the candidates of a stream, from their last reports. If @panic_mode is set, too
  * many targets appear to be failing, so none of them is treated as failing. */
 typedef struct
 {
@@ -148,30 +148,30 @@
          (uint64_t)target->load.answer_bytes * FAILING_DIVISOR < typical->answer_bytes;
 }
 
+/* The means are taken over the candidates alone, so that the cost of a choice does not grow with
+ * the service. */
 static ServiceMeans
-service_means_of (const KqStreamTargets *targets, uint32_t service, KqTime now)
+candidate_means (KqStreamTarget *const *candidates, unsigned candidate_count, KqTime now)
 {
   ServiceMeans typical = { 0 };
   KqDomainCounts domain_counts = { 0 };
   unsigned count = 0;
-  for (unsigned i = 0; i < targets->count; i++)
+  for (unsigned i = 0; i < candidate_count; i++)
     {
-      const KqStreamTarget *target = &targets->targets[i];
-      if (target->service != service || target->load.service_us == 0)
+      if (candidates[i]->load.service_us == 0)
         continue;
-      typical.service_us += target->load.service_us;
-      typical.answer_bytes += target->load.answer_bytes;
+      typical.service_us += candidates[i]->load.service_us;
+      typical.answer_bytes += candidates[i]->load.answer_bytes;
       count++;
     }
   if (count == 0)
     return (ServiceMeans){ .service_us = SERVICE_DEFAULT_US };
   typical.service_us /= count;
   typical.answer_bytes /= count;
-  for (unsigned i = 0; i < targets->count; i++)
+  for (unsigned i = 0; i < candidate_count; i++)
     {
-      bool failing = looks_failing (&targets->targets[i], &typical, now);
-      if (targets->targets[i].service == service)
-        *(failing ? &domain_counts.suspect : &domain_counts.alive) += 1;
+      bool failing = looks_failing (candidates[i], &typical, now);
+      *(failing ? &domain_counts.suspect : &domain_counts.alive) += 1;
     }
   typical.panic_mode = kq_panic_decide (&domain_counts, 1, KQ_PANIC_PERMILLE).use_suspects;
   return typical;
@@ -203,20 +203,36 @@
   return service + queued * service / slots + running * service / slots / 4 + penalty_us;
 }
 
+/* Writes the candidates that are agents of the service. Return: their number. */
+static unsigned
+find_candidates (const KqStreamTargets *targets, uint32_t service, const uint64_t *ids,
+                 unsigned count, KqStreamTarget *candidates[KQ_TARGET_CANDIDATES_MAX])
+{
+  unsigned found = 0;
+  for (unsigned i = 0; i < count && found < KQ_TARGET_CANDIDATES_MAX; i++)
+    {
+      KqStreamTarget *target = kq_stream_targets_find (targets, ids[i]);
+      if (target != NULL && target->service == service)
+        candidates[found++] = target;
+    }
+  return found;
+}
+
 KqStreamTarget *
 kq_stream_targets_choose (const KqStreamTargets *targets, uint32_t service,
                           const uint64_t *candidate_ids, unsigned candidate_count,
                           const uint64_t *tried, unsigned tried_count, KqTime now)
 {
+  KqStreamTarget *candidates[KQ_TARGET_CANDIDATES_MAX];
   KqStreamTarget *chosen = NULL;
   KqStreamTarget *fallback = NULL;
-  ServiceMeans typical = service_means_of (targets, service, now);
+  unsigned count = find_candidates (targets, service, candidate_ids, candidate_count, candidates);
+  ServiceMeans typical = candidate_means (candidates, count, now);
   uint64_t lowest = 0;
-  for (unsigned i = 0; i < candidate_count; i++)
+  for (unsigned i = 0; i < count; i++)
     {
-      KqStreamTarget *target = kq_stream_targets_find (targets, candidate_ids[i]);
-      if (target == NULL || target->service != service || !target->serving || target->evacuated ||
-          was_tried (target->peer.id, tried, tried_count))
+      KqStreamTarget *target = candidates[i];
+      if (!target->serving || target->evacuated || was_tried (target->peer.id, tried, tried_count))
         continue;
       if (target->backoff_until > now)
         {
