Absent agents of other services do not keep callers from being told

Change: agents of services that the route names or named are queried first, in rounds of their own, and must all have answered; the agents of other services are queried if they are members. A stream is reset wrongly only if an unknown configuration placed it, and its agent is away at that moment.

--- a/include/kumquat/internal/stream_state.h
+++ b/include/kumquat/internal/stream_state.h
@@ -80,6 +80,8 @@
  * @searched_version: version of the agent history at that time
  * @search_running: its search counts as running
  * @candidates: agents that may own it; ids is owned
+ * @named_count: the first of them belong to services that the route names or named
+ * @querying_others: the current round queries agents of other services
  * @queried_count: number of candidates that were queried
  * @unanswered: agents that were queried or probed in this round and have not answered
  * @answers_missing: an agent of the last search has not answered
@@ -122,6 +124,8 @@
   unsigned searched_version;
   bool search_running;
   KqAgentCandidates candidates;
+  unsigned named_count;
+  bool querying_others;
   unsigned queried_count;
   unsigned unanswered;
   bool answers_missing;
--- a/src/connection/stream_search.c
+++ b/src/connection/stream_search.c
@@ -12,6 +12,7 @@
  * them may be missing; otherwise the stream is searched again when more is known of the agents. */
 
 #include <stdio.h>
+#include <string.h>
 #include <syslog.h>
 
 #include "kumquat/internal/stream_state.h"
@@ -50,6 +51,33 @@
  * retransmitted after 1.6 s at the latest. */
 #define CALLER_SILENT_US (1700 * KQ_MS)
 
+/* Appends the agents of the services that are not among the first @named of @services. Those that
+ * are away do not count as missing: one of them would keep all callers from being told. */
+static void
+append_other_services (const KqStreamRouter *router, KqStream *stream,
+                       KqAgentCandidates *candidates, uint32_t services[SEARCH_SERVICES_MAX],
+                       unsigned named, KqTime now)
+{
+  unsigned count =
+      kq_agent_history_add_services (router->agent_history, services, named, SEARCH_SERVICES_MAX);
+  unsigned listed = count < SEARCH_SERVICES_MAX ? count : SEARCH_SERVICES_MAX;
+  KqAgentCandidates others =
+      kq_agent_history_candidates (stream, router->agent_history, services + named, listed - named,
+                                   kq_stream_key_hash (&stream->key), now);
+  uint64_t *ids = candidates->ids == NULL || others.ids == NULL
+                      ? NULL
+                      : talloc_realloc (stream, candidates->ids, uint64_t,
+                                        candidates->count + others.count + 1);
+  candidates->known = candidates->known && ids != NULL && count <= SEARCH_SERVICES_MAX;
+  if (ids != NULL)
+    {
+      memcpy (ids + candidates->count, others.ids, others.count * sizeof ids[0]);
+      candidates->ids = ids;
+      candidates->count += others.count;
+    }
+  talloc_free (others.ids);
+}
+
 /* Finds the agents that may own the stream: first those of the services that its route names or
  * named within the lifetime of a stream. While other configurations may have been in force
  * meanwhile which this balancer does not know, the agents of all other services follow. */
@@ -57,16 +85,14 @@
 find_candidates (const KqStreamRouter *router, KqStream *stream, KqTime now)
 {
   uint32_t services[SEARCH_SERVICES_MAX];
-  unsigned count = kq_route_history_services (router->route_history, router->routes, &stream->key,
+  unsigned named = kq_route_history_services (router->route_history, router->routes, &stream->key,
                                               now, services, SEARCH_SERVICES_MAX);
-  if (count == 0 || !kq_route_history_is_complete (router->route_history, now))
-    count =
-        kq_agent_history_add_services (router->agent_history, services, count, SEARCH_SERVICES_MAX);
-  bool all_listed = count <= SEARCH_SERVICES_MAX;
   KqAgentCandidates candidates = kq_agent_history_candidates (
-      stream, router->agent_history, services, all_listed ? count : SEARCH_SERVICES_MAX,
-      kq_stream_key_hash (&stream->key), now);
-  candidates.known = candidates.known && all_listed && candidates.unknown_services == 0;
+      stream, router->agent_history, services, named, kq_stream_key_hash (&stream->key), now);
+  candidates.known = candidates.known && candidates.unknown_services == 0;
+  stream->named_count = candidates.count;
+  if (named == 0 || !kq_route_history_is_complete (router->route_history, now))
+    append_other_services (router, stream, &candidates, services, named, now);
   return candidates;
 }
 
@@ -141,6 +167,10 @@
 {
   const KqAgentCandidates *candidates = &stream->candidates;
   unsigned end = stream->queried_count + KQ_SEARCH_ROUND_AGENTS;
+  bool named = stream->queried_count < stream->named_count;
+  if (named && end > stream->named_count)
+    end = stream->named_count;
+  stream->querying_others = !named && stream->named_count > 0;
   stream->state = KQ_STREAM_SEARCHING;
   stream->transaction_id = ++router->last_transaction_id;
   stream->unanswered = 0;
@@ -152,7 +182,7 @@
           kq_stream_targets_find (router->targets, candidates->ids[stream->queried_count]);
       if (target == NULL)
         {
-          stream->answers_missing = true;
+          stream->answers_missing |= !stream->querying_others;
           continue;
         }
       stream->unanswered++;
@@ -269,7 +299,7 @@
 end_round (KqStreamRouter *router, KqStream *stream, KqTime now)
 {
   KqStreamTarget *last = NULL;
-  stream->answers_missing |= stream->unanswered > 0;
+  stream->answers_missing |= stream->unanswered > 0 && !stream->querying_others;
   if (stream->undecided_count == 1)
     last = kq_stream_targets_find (router->targets, stream->undecided[0]);
   if (stream->state == KQ_STREAM_SEARCHING && stream->undecided_count > 0 &&
@@ -279,7 +309,7 @@
     set_last_owner (router, stream, last);
   else
     {
-      stream->answers_missing |= stream->undecided_count > 0;
+      stream->answers_missing |= stream->undecided_count > 0 && !stream->querying_others;
       if (stream->queried_count < stream->candidates.count)
         query_candidates (router, stream, now);
       else
--- a/tests/unit/test_route_history.c
+++ b/tests/unit/test_route_history.c
@@ -197,6 +197,34 @@
   talloc_free (fixture);
 }
 
+/* Regression: after a loss of power, one agent of another service that stayed away kept all callers
+ * of orphaned streams from being told. An agent that is away may not be the route's own. */
+static void
+test_missing_agent_of_another_service (void)
+{
+  Fixture *fixture = set_up_balancer (2);
+  set_route (fixture, 1, OLD_SERVICE, 0, 0);
+  KqMember members[2 * SERVICE_AGENTS - 1];
+  for (unsigned i = 0; i < 2 * SERVICE_AGENTS - 1; i++)
+    {
+      unsigned service = OLD_SERVICE + i / SERVICE_AGENTS;
+      members[i] =
+          (KqMember){ .role = KQ_ROLE_AGENT, .phase = KQ_PHASE_SERVING, .service = service };
+      members[i].peer.id = FIRST_AGENT (service) + i % SERVICE_AGENTS;
+      members[i].peer.incarnation = 1;
+      members[i].control = kq_ipv4_address (0x0a000000 + i, 7720);
+    }
+  kq_agent_history_update (fixture->agent_history, members, 2 * SERVICE_AGENTS - 1, KQ_SECOND);
+  kq_stream_router_set_members (fixture->router, members, 2 * SERVICE_AGENTS - 1);
+  CU_ASSERT_EQUAL (search (fixture, 1, 0, KQ_SECOND), 2 * SERVICE_AGENTS - 1);
+  CU_ASSERT_EQUAL (fixture->resets, 1);
+  /* The same absence matters for a route of that service. */
+  set_route (fixture, 2, NEW_SERVICE, 0, KQ_SECOND);
+  search (fixture, 2, 0, KQ_SECOND);
+  CU_ASSERT_EQUAL (fixture->resets, 1);
+  talloc_free (fixture);
+}
+
 int
 main (void)
 {
@@ -208,6 +236,7 @@
     { "weights shift to another service", test_weights_shift },
     { "the route was removed and added again", test_route_removed_and_added },
     { "orphaned streams are reset", test_orphaned_streams_are_reset },
+    { "a missing agent of another service", test_missing_agent_of_another_service },
     { "no reset without certainty", test_no_reset_without_certainty },
   };
   return kq_unit_run ("route history", tests, sizeof tests / sizeof tests[0]);
