--- a/src/process/stream_balancer.c
+++ b/src/process/stream_balancer.c
@@ -544,26 +544,21 @@
   balancer->started_at = kq_clock_now ();
   if (start_router (balancer, error) < 0 || start_store (balancer, error) < 0 ||
       start_control (balancer, error) < 0 || open_sockets (balancer, error) < 0)
-    {
-      talloc_free (balancer);
-      return NULL;
-    }
+    goto error;
   balancer->refresh_timer = kq_timer_new (balancer, ev, on_refresh, balancer, error);
   if (balancer->refresh_timer == NULL)
-    {
-      talloc_free (balancer);
-      return NULL;
-    }
+    goto error;
   kq_timer_set (balancer->refresh_timer, kq_clock_now () + REFRESH_US);
   update_watch (balancer);
   balancer->directory = kq_stream_directory_new (balancer, ev, balancer->store, balancer->control,
                                                  balancer->agent_history, error);
   if (balancer->directory == NULL)
-    {
-      talloc_free (balancer);
-      return NULL;
-    }
+    goto error;
   return balancer;
+
+error:
+  talloc_free (balancer);
+  return NULL;
 }
 
 static void
--- a/tests/unit/test_route_history.c
+++ b/tests/unit/test_route_history.c
@@ -10,12 +10,12 @@
 #define FIRST_AGENT(s) (100 * (uint64_t)(s))
 #define LONG_AGO       (-200 * KQ_SECOND)
 
-/* Members of @count services, from OLD_SERVICE on. */
+/* The first @count agents, SERVICE_AGENTS of each service from OLD_SERVICE on, as members. */
 static void
-set_services (Fixture *fixture, unsigned count, KqTime now)
+set_agents (Fixture *fixture, unsigned count, KqTime now)
 {
-  KqMember *members = talloc_zero_array (fixture, KqMember, count * SERVICE_AGENTS);
-  for (unsigned i = 0; i < count * SERVICE_AGENTS; i++)
+  KqMember *members = talloc_zero_array (fixture, KqMember, count);
+  for (unsigned i = 0; i < count; i++)
     {
       unsigned service = OLD_SERVICE + i / SERVICE_AGENTS;
       members[i] =
@@ -24,8 +24,8 @@
       members[i].peer.incarnation = 1;
       members[i].control = kq_ipv4_address (0x0a000000 + i, 7720);
     }
-  kq_agent_history_update (fixture->agent_history, members, count * SERVICE_AGENTS, now);
-  kq_stream_router_set_members (fixture->router, members, count * SERVICE_AGENTS);
+  kq_agent_history_update (fixture->agent_history, members, count, now);
+  kq_stream_router_set_members (fixture->router, members, count);
   talloc_free (members);
 }
 
@@ -53,7 +53,7 @@
   fixture->router = kq_stream_router_new (fixture, "near", fixture->agent_history, &ops, fixture);
   kq_stream_router_trust_routes (fixture->router, true);
   for (KqTime now = LONG_AGO; now <= 0; now += KQ_SECOND)
-    set_services (fixture, services, now);
+    set_agents (fixture, services * SERVICE_AGENTS, now);
   return fixture;
 }
 
@@ -174,7 +174,7 @@
   set_route (fixture, 2, NEW_SERVICE, 0, 0);
   CU_ASSERT_EQUAL (search (fixture, 2, 0, KQ_SECOND), 2 * SERVICE_AGENTS);
   CU_ASSERT_EQUAL (fixture->resets, 2);
-  set_services (fixture, 2, 2 * KQ_ROUTE_HISTORY_US);
+  set_agents (fixture, 2 * SERVICE_AGENTS, 2 * KQ_ROUTE_HISTORY_US);
   CU_ASSERT_EQUAL (search (fixture, 3, 0, 2 * KQ_ROUTE_HISTORY_US), SERVICE_AGENTS);
   CU_ASSERT_EQUAL (fixture->resets, 3);
   talloc_free (fixture);
@@ -204,18 +204,7 @@
 {
   Fixture *fixture = set_up_balancer (2);
   set_route (fixture, 1, OLD_SERVICE, 0, 0);
-  KqMember members[2 * SERVICE_AGENTS - 1];
-  for (unsigned i = 0; i < 2 * SERVICE_AGENTS - 1; i++)
-    {
-      unsigned service = OLD_SERVICE + i / SERVICE_AGENTS;
-      members[i] =
-          (KqMember){ .role = KQ_ROLE_AGENT, .phase = KQ_PHASE_SERVING, .service = service };
-      members[i].peer.id = FIRST_AGENT (service) + i % SERVICE_AGENTS;
-      members[i].peer.incarnation = 1;
-      members[i].control = kq_ipv4_address (0x0a000000 + i, 7720);
-    }
-  kq_agent_history_update (fixture->agent_history, members, 2 * SERVICE_AGENTS - 1, KQ_SECOND);
-  kq_stream_router_set_members (fixture->router, members, 2 * SERVICE_AGENTS - 1);
+  set_agents (fixture, 2 * SERVICE_AGENTS - 1, KQ_SECOND);
   CU_ASSERT_EQUAL (search (fixture, 1, 0, KQ_SECOND), 2 * SERVICE_AGENTS - 1);
   CU_ASSERT_EQUAL (fixture->resets, 1);
   /* The same absence matters for a route of that service. */
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -26,7 +26,7 @@
     "preference for the own domain": [("src/connection/stream_targets.c", "#define REMOTE_PENALTY_US (20 * KQ_MS)",
                                        "#define REMOTE_PENALTY_US (0 * KQ_MS)")],
     "offers before queueing": [("src/connection/stream_offer.c", "#define OFFERS_WITHOUT_QUEUEING 3",
-                                "#define OFFERS_WITHOUT_QUEUEING 0")],
+                                "#define OFFERS_WITHOUT_QUEUEING 1")],
     "order of the queue": [("src/request/admission.c", "  bool a_in_time = can_meet_objective (admission, a, now);",
                             "  if (a != NULL)\n    return a->arrived_at < b->arrived_at;\n"
                             "  bool a_in_time = can_meet_objective (admission, a, now);")],
