Review case: an agent that starts while its seeds are gone never joins

Cause: a reload applies only keys, an instance without peers has only the seeds of its start, agents have no store, and members that left are not probed. Searches then send callers' packets to others.

--- a/review/world.py
+++ b/review/world.py
@@ -87,38 +87,43 @@
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.roles = deploy["roles"]
 
-    def _start_role(self, role, name, values):
-        spec = self.roles[role]
-        template = (ROOT / spec["template"]).read_text()
-        values.setdefault("zone", stream_world.DOMAINS[int(name.rsplit("-", 1)[1]) % 2])
-        values.update(node_name=name, internal_ports=[stream_world.CONTROL_PORT,
-                                                      stream_world.CONTROL_PORT + 15],
-                      seeds=[f"{ip}:{stream_world.REPORT_PORT}"
-                             for ip in list(self.balancers.values())[:3]],
-                      platform={"address": "%s:%d" % self.store_address})
+        self.seed_names = list(self.balancers)[:3]
+
+    def _values(self, name):
+        """What the platform fills in for the process @name."""
+        ports = stream_world
+        ip, service = (self.agents[name] if name in self.agents else (self.balancers[name], ""))
+        return {
+            "node_name": name, "ip": ip, "service": service, "app": f"{ip}:{ports.APP_PORT}",
+            "zone": ports.DOMAINS[int(name.rsplit("-", 1)[1]) % 2],
+            "internal_ports": [ports.CONTROL_PORT, ports.CONTROL_PORT + 15],
+            "seeds": [f"{self.balancers[seed]}:{ports.REPORT_PORT}" for seed in self.seed_names],
+            "platform": {"address": "%s:%d" % self.store_address},
+            "listen": {"datagram_addr": f"{ip}:{ports.PORT}",
+                       "outbound": f"{ip}:{ports.OUTBOUND_PORT}",
+                       "ready": f"{ip}:{ports.READY_PORT}",
+                       "control": f"{ip}:{ports.REPORT_PORT}"}}
+
+    def write_settings(self, name):
+        """Writes the settings file of the process @name as the platform does."""
+        role = self.roles["agent" if name in self.agents else "balancer"]
         path = self.folder / f"{name}.toml"
-        path.write_text(render(template, values))
-        program, *arguments = spec["run"].split(" ")
+        path.write_text(render((ROOT / role["template"]).read_text(), self._values(name)))
+        return path
+
+    def _start_role(self, role, name):
+        path = self.write_settings(name)
+        program, *arguments = self.roles[role]["run"].split(" ")
         arguments = [str(path) if a.endswith("settings.toml") else a for a in arguments]
         process = processes.Process(self.folder, name, [ROOT / program, *arguments])
         self.processes[name] = process
         return process
 
     def start_balancer(self, name, seeds=None):
-        ip = self.balancers[name]
-        return self._start_role("balancer", name, {"ip": ip, "listen": {
-            "datagram_addr": f"{ip}:{stream_world.PORT}",
-            "ready": f"{ip}:{stream_world.READY_PORT}",
-            "control": f"{ip}:{stream_world.REPORT_PORT}"}})
+        return self._start_role("balancer", name)
 
     def start_agent(self, name):
-        ip, service = self.agents[name]
-        return self._start_role("agent", name, {
-            "ip": ip, "service": service, "app": f"{ip}:{stream_world.APP_PORT}", "listen": {
-                "datagram_addr": f"{ip}:{stream_world.PORT}",
-                "outbound": f"{ip}:{stream_world.OUTBOUND_PORT}",
-                "ready": f"{ip}:{stream_world.READY_PORT}",
-                "control": f"{ip}:{stream_world.REPORT_PORT}"}})
+        return self._start_role("agent", name)
 
     def start_target(self, name):
         ip, service = self.agents[name]
