--- a/review/world2.py
+++ b/review/world2.py
@@ -10,7 +10,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "tests/integration"))
 
-from processes import Process  # noqa: E402
+from processes import Failure, Process  # noqa: E402
 import stream_world  # noqa: E402
 from stream_world import World  # noqa: E402
 
@@ -81,6 +81,12 @@
         self.processes[name] = process
         return process
 
+    async def run_all(self, callers=4):
+        await super().run_all(callers)
+        for process in self.processes.values():
+            if process.popen.poll() is not None:
+                raise Failure(f"{process.name} did not start: {process.log()[-300:]}")
+
     def start_balancer(self, name, seeds=None):
         return self.start_program(name, "kumquat-balancer")
 
