--- a/review/6/run.py
+++ b/review/6/run.py
@@ -15,6 +15,7 @@
 
 from world2 import Deployment, trouble  # noqa: E402
 from processes import Failure  # noqa: E402
+from stream_world import SERVICES  # noqa: E402
 
 CALLERS = 24
 START_S = 4.0        # the first members of a fleet place no flow before
@@ -23,7 +24,7 @@
 RUN_MAX_S = 110.0
 AFTER_S = 5.0
 PAUSE_S = 0.4
-HOST, PORT = "198.18.0.1", 443
+(HOST, PORT), (FILES_HOST, FILES_PORT) = SERVICES["scores"], SERVICES["files"]
 
 
 def write_configuration(world, backends):
@@ -35,7 +36,7 @@
         shifted["service"] = backends[0][0]
     else:
         shifted["backends"] = [{"service": name, "weight": weight} for name, weight in backends]
-    files = {"name": "r1", "host": "198.18.0.2", "prefix": "/8443/", "type": "safe",
+    files = {"name": "r1", "host": FILES_HOST, "prefix": f"/{FILES_PORT}/", "type": "safe",
              "timeout_ms": 3000, "target_latency_ms": 500, "priority": 2, "service": "files"}
     world.store.put("op/config", json.dumps(
         {"version": world.version, "routes": [shifted, files], "services": [],
--- a/review/world2.py
+++ b/review/world2.py
@@ -14,6 +14,10 @@
 import stream_world  # noqa: E402
 from stream_world import World  # noqa: E402
 
+# Hosts of the routes, in place of the stand-ins' own: they stand in packets and in the configuration only,
+# and are loopback addresses like all others.
+stream_world.SERVICES.update(scores=("127.99.0.1", 443), files=("127.99.0.2", 8443))
+
 CONTRACTS = "base,drain,config,cost,recover,flows,platform"
 
 
